--- /dev/null
+++ b/emberglade/__init__.py
@@ -0,0 +1,1 @@
+"""emberglade: a cluster scheduler."""
--- /dev/null
+++ b/emberglade/actors.py
@@ -0,0 +1,87 @@
+"""Actors: objects that own their state and are spoken to by messages.
+
+A message is a name and arguments; `tell("x", 1)` runs `on_x(1)` in the actor's own turn.
+`ThreadSystem` gives each actor a thread and a mailbox; the tests run the same actors on
+simulated time. Own layer instead of Pykka: see docs/design.md, "Libraries".
+"""
+
+import heapq
+import itertools
+import logging
+import queue
+import random
+import threading
+import time
+
+log = logging.getLogger("emberglade.actors")
+
+
+class Actor:
+    """Base of all actors. Subclasses define `on_<message>` and may define `on_begin`."""
+
+    _post = None
+    system = None
+
+    def tell(self, message, *args):
+        self._post(0.0, message, args)
+
+    def after(self, delay, message, *args):
+        self._post(delay, message, args)
+
+    def then(self, message, *context):
+        """A callable that sends `message` with `context` and whatever it is called with."""
+        return lambda *result: self._post(0.0, message, context + result)
+
+    def now(self):
+        return self.system.now()
+
+    def receive(self, message, args):
+        getattr(self, "on_" + message)(*args)
+
+    def on_begin(self):
+        """First message of every actor."""
+
+
+class ThreadSystem:
+    """Runs each actor on a thread of its own, on the real clock."""
+
+    def __init__(self, seed=None):
+        self.random = random.Random(seed)
+        self.now = time.monotonic
+        self.wall = time.time
+
+    def spawn(self, actor, name):
+        actor.system = self
+        mailbox = queue.SimpleQueue()
+        actor._post = lambda delay, message, args: mailbox.put(
+            (self.now() + delay if delay > 0 else 0.0, message, args))
+        actor.tell("begin")
+        threading.Thread(target=self._run, args=(actor, mailbox), name=name, daemon=True).start()
+
+    def _run(self, actor, mailbox):
+        timers, order = [], itertools.count()
+        while True:
+            wait = None
+            if timers:
+                wait = timers[0][0] - self.now()
+                if wait <= 0:
+                    _, _, message, args = heapq.heappop(timers)
+                    self._deliver(actor, message, args)
+                    # Mail is not starved by timers that are always due.
+                    wait = 0
+            try:
+                due, message, args = mailbox.get(timeout=wait) if wait != 0 else mailbox.get_nowait()
+            except queue.Empty:
+                continue
+            if due:
+                heapq.heappush(timers, (due, next(order), message, args))
+            else:
+                self._deliver(actor, message, args)
+
+    @staticmethod
+    def _deliver(actor, message, args):
+        try:
+            actor.receive(message, args)
+        except Exception:
+            # One bad message must not end the controller; its sender repeats what matters.
+            log.exception("message %s to %s failed; it is dropped", message, type(actor).__name__)
--- /dev/null
+++ b/emberglade/config/__init__.py
@@ -0,0 +1,6 @@
+"""Settings: the platform's TOML and the operators' own file."""
+
+from .operators import Operators, load_operators
+from .platform import Settings, SettingsError, load_platform
+
+__all__ = ["Operators", "Settings", "SettingsError", "load_operators", "load_platform"]
--- /dev/null
+++ b/emberglade/fleet/steward.py
@@ -0,0 +1,401 @@
+"""The steward of the fleet. Only the leader's acts; every node's keeps the catalog at hand.
+
+Every durable step is conditional on the lead's key, so a former leader can't write any more.
+What it may still do at the cloud harms nobody: names of requests are never used twice, and a
+machine's return is proof for moving its tasks only to the leader that then writes the mark.
+"""
+
+import logging
+import math
+import random
+from dataclasses import dataclass
+
+from ..actors import Actor
+from ..placement import read_types, write_types
+from ..sizing import Sizer, family
+from ..state import LIVE
+from ..state import wire as state_wire
+from ..state.ledger import DECISIONS
+from . import wire
+
+log = logging.getLogger("emberglade.fleet")
+
+
+@dataclass
+class Machine:
+    """A machine as the leader counts it."""
+
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    asked: float  # when it was rented, by our clock
+    state: str = "starting"
+    listed: bool = False
+    missing: int = 0
+    seen: float = 0.0  # last heard by any node, by our clock; 0: never
+    idle_since: float | None = None
+
+
+class Steward(Actor):
+    def __init__(self, settings, operators, ledger, keeper, desk, cloud):
+        self.settings, self.operators = settings, operators
+        self.ledger, self.keeper, self.desk, self.cloud = ledger, keeper, desk, cloud
+        self.incarnation = None
+        self.lead = None
+        self.leading = False
+        self.types = {}
+        self.catalog_asked = -1e9
+        self.marks = {}  # machine -> (mark, stamp)
+        self.tables = {}
+        self.machines = {}
+        self.sizers = {}
+        self.targets = {}
+        self.requests = 0
+        self.refused = {}  # (type, zone, spot) -> until
+        self.renting = {}  # request -> (type, zone, spot, count)
+        self.returning = set()
+        self.returned = {}  # machine -> when the cloud's 200 came
+        self.marking = set()
+        self.listing = False
+        self.list_found = []
+        self.list_asked = 0.0
+        self.occupied = set()
+        self.silence = {}
+        self.since = 0.0
+        self.loaded = False
+        self.ticks = 0
+
+    def on_begin(self):
+        self.ledger.tell("subscribe", self)
+        self.experts = family(self.operators.min_lookback_s, self.operators.max_lookback_s)
+        self.after(0.5, "tick")
+
+    def on_identity(self, incarnation):
+        self.incarnation = incarnation
+
+    def on_contact(self, when):
+        pass
+
+    # --- the committed copy
+
+    def on_changed(self, events, revision, whole):
+        self.loaded = True
+        if whole:
+            self.marks, self.lead = {}, None
+        for key, data, stamp in events:
+            if key.startswith("m/"):
+                if data is None:
+                    self.marks.pop(key[2:], None)
+                else:
+                    self.marks[key[2:]] = (data.get("mark"), stamp)
+            elif key == "lead":
+                self.lead = None if data is None else (data.get("node"), data.get("inc"), stamp)
+            elif key == "catalog" and data is not None:
+                self.types = read_types(data)
+            elif key.startswith("n/"):
+                if data is None:
+                    self.tables.pop(key[2:], None)
+                elif data.get("table"):
+                    self.tables[key[2:]] = data["table"]
+        leading = self.lead is not None and self.incarnation is not None and self.lead[:2] == (self.settings.node, self.incarnation)
+        if leading and not self.leading:
+            self.begin_lead()
+        elif self.leading and not leading:
+            log.info("no longer leading")
+        self.leading = leading
+
+    def begin_lead(self):
+        log.info("leading: the demand history and the weights start anew")
+        self.since = self.now()
+        self.machines, self.sizers, self.targets = {}, {}, {}
+        self.renting, self.returning, self.returned, self.marking = {}, set(), {}, set()
+        self.refused = {}
+        self.list_found, self.listing = [], False
+        self.listed_once = False
+        self.ticks = 0
+
+    def commit(self, writes, reply):
+        self.ledger.tell("commit", DECISIONS, [(LIVE + "lead", self.lead[2])], writes, reply)
+
+    # --- every second
+
+    def on_tick(self):
+        self.after(1.0, "tick")
+        if not self.leading or not self.loaded:
+            return
+        now = self.now()
+        self.ticks += 1
+        if now - self.catalog_asked > (30 if self.types else 2):
+            self.catalog_asked = now
+            self.cloud.call("GET", "/catalog", None, 3.0, self.then("catalog"))
+        if not self.types:
+            return
+        if not self.listing and now - self.list_asked > self.settings.list_lag_s / 2:
+            self.list_asked, self.listing, self.list_found = now, True, []
+            self.cloud.call("GET", wire.list_path(""), None, 3.0, self.then("listed"))
+        self.keeper.tell("occupied", self.then("occupancy"))
+        self.desk.tell("silence", self.then("silent"))
+        self.count_demand(now)
+
+    def count_demand(self, now):
+        total = {}
+        for table in self.tables.values():
+            for name, spot, count in table.get("d", ()):
+                total[(name, spot)] = total.get((name, spot), 0.0) + count
+        for pool in total:
+            if pool[0] in self.types and pool not in self.sizers:
+                self.sizers[pool] = Sizer(self.experts, self.operators.epsilon, self.operators.cost_round_s,
+                                          self.operators.pool_premium, random.Random(f"{self.operators.seed} {pool}"))
+        for pool, sizer in self.sizers.items():
+            machine_type = self.types.get(pool[0])
+            if machine_type is not None:
+                sizer.record(total.get(pool, 0.0), machine_type.spot_price if pool[1] else machine_type.price)
+        if self.ticks % int(self.operators.cost_round_s) == 0 and self.listed_once:
+            self.round(now, total)
+
+    def on_catalog(self, status, body):
+        types = wire.read_catalog(body) if status == 200 else None
+        if types is None:
+            log.info("the catalog can't be had now (%s); asking again", status or "no answer")
+            self.catalog_asked = self.now() - 28
+            return
+        if self.leading and types != self.types:
+            self.commit([state_wire.put(LIVE + "catalog", write_types(types))], lambda *_: None)
+
+    # --- what is there
+
+    def on_listed(self, status, body):
+        page = wire.read_list(body) if status == 200 else None
+        if page is None:
+            self.listing = False
+            return
+        rows, more = page
+        self.list_found += rows
+        if more and rows:
+            self.cloud.call("GET", wire.list_path(rows[-1].name), None, 3.0, self.then("listed"))
+            return
+        self.listing = False
+        if not self.leading:
+            return
+        now = self.now()
+        names = set()
+        for row in self.list_found:
+            names.add(row.name)
+            machine = self.machines.get(row.name)
+            if machine is None:
+                if row.name in self.returned or self.marks.get(row.name, ("",))[0] == "gone":
+                    continue
+                machine = self.machines[row.name] = Machine(row.name, row.type, row.zone, row.spot, now - row.age_s)
+            machine.listed, machine.missing = True, 0
+            if row.state != "starting" or machine.state == "starting":
+                machine.state = row.state
+        for machine in list(self.machines.values()):
+            if machine.name not in names:
+                machine.missing += 1
+                # Listed once stays listed until gone; lists can be older than the one before.
+                if (machine.listed and machine.missing > 3) or now - machine.asked > 10 * self.settings.list_lag_s:
+                    del self.machines[machine.name]
+        for name in [n for n, at in self.returned.items() if now - at > 20 * self.settings.list_lag_s]:
+            del self.returned[name]
+        gone = [name for name, (mark, _) in self.marks.items()
+                if mark == "gone" and name not in names and name not in self.occupied and name not in self.returned]
+        self.mark(gone[:8], None)
+        self.listed_once = True
+
+    def on_occupancy(self, occupied):
+        self.occupied = occupied
+        now = self.now()
+        for machine in self.machines.values():
+            if machine.name in occupied or not machine.seen:
+                machine.idle_since = None
+            elif machine.idle_since is None:
+                machine.idle_since = now
+
+    # --- machines that fall silent
+
+    def on_silent(self, silence):
+        if not self.leading:
+            return
+        now = self.now()
+        lost, ended, back = [], [], []
+        for name, (heard, last, proven, revision) in silence.items():
+            mark, stamp = self.marks.get(name, (None, 0))
+            machine = self.machines.get(name)
+            if machine is not None and heard > machine.seen and now - heard < self.settings.lease_s:
+                machine.seen = heard
+                machine.state = "running"
+            quiet = now - last
+            if mark is None and quiet > self.settings.lease_s * 0.6 and (name in self.occupied or machine is None):
+                lost.append(name)
+            elif mark in ("lost", "drain") and proven and revision >= stamp and name in self.occupied:
+                ended.append(name)
+            elif mark in ("lost", "ended") and quiet < self.settings.report_s * 2:
+                if mark == "lost" or name not in self.occupied:
+                    back.append(name)
+            elif mark == "ended" and machine is None and name not in self.occupied and quiet > 6 * self.settings.lease_s:
+                back.append(name)
+        if lost:
+            log.info("no node has heard of %s for a while; nothing more is placed there", lost)
+            self.mark([n for n in lost if n in self.occupied], "lost")
+        if ended:
+            log.info("the leases of %s have run out; their tasks move", ended)
+            self.mark(ended, "ended")
+        if back:
+            log.info("%s may be used again", back)
+            self.mark(back, None)
+
+    def mark(self, names, mark):
+        names = [name for name in names if name not in self.marking][:self.settings.txn_ops]
+        if not names:
+            return
+        self.marking.update(names)
+        conditions = [(LIVE + "lead", self.lead[2])] + [(f"{LIVE}m/{n}", self.marks.get(n, (None, 0))[1]) for n in names]
+        writes = [state_wire.remove(f"{LIVE}m/{n}") if mark is None else state_wire.put(f"{LIVE}m/{n}", {"mark": mark}) for n in names]
+        self.ledger.tell("commit", DECISIONS, conditions, writes, self.then("marked", names))
+
+    def on_marked(self, names, status, revision, failed):
+        self.ledger.tell("sync", self.then("mark_seen", names))
+
+    def on_mark_seen(self, names, revision):
+        self.marking.difference_update(names)
+
+    # --- the round: draw, rent, return
+
+    def counted(self, machine):
+        return machine.state != "failed" and self.marks.get(machine.name, (None,))[0] is None and machine.name not in self.returning
+
+    def round(self, now, total):
+        young = now - self.since < 300
+        for pool, sizer in self.sizers.items():
+            machine_type = self.types.get(pool[0])
+            if machine_type is None or not sizer.history:
+                continue
+            number, target = sizer.round(machine_type.boot_s or self.operators.boot_guess_s)
+            if young:
+                target = min(target, math.ceil(2 * total.get(pool, 0.0)))
+            expert = self.experts[number]
+            log.info("draw for %s %s: target %d (expert %d%% x %g over %d s), demand %.2f", pool[0],
+                     "spot" if pool[1] else "ordinary", target, expert.percentile, expert.multiplier, expert.lookback_s,
+                     total.get(pool, 0.0))
+            self.targets[pool] = target
+        for name, machine_type in self.types.items():
+            self.balance(now, name, machine_type)
+        self.tidy(now)
+
+    def balance(self, now, name, machine_type):
+        """Rents what is short and starts returning what has been idle above the targets."""
+        there = [m for m in self.machines.values() if m.type == name and self.counted(m)]
+        coming = {True: 0, False: 0}
+        for _, (kind, _, spot, count) in self.renting.items():
+            if kind == name:
+                coming[spot] += count
+        ordinary = sum(not m.spot for m in there) + coming[False]
+        spot = sum(m.spot for m in there) + coming[True]
+        need_ordinary, need_spot = self.targets.get((name, False), 0), self.targets.get((name, True), 0)
+        short_ordinary = need_ordinary - ordinary
+        short_any = need_spot - spot - max(0, -short_ordinary)
+        if short_ordinary > 0:
+            self.rent(now, machine_type, False, short_ordinary)
+        if short_any > 0:
+            cheap = machine_type.spot_price < machine_type.price
+            if not (cheap and self.rent(now, machine_type, True, short_any)):
+                self.rent(now, machine_type, False, short_any)
+        # Above target, machines idle for the hold time go back; the dearer kind first.
+        hold = self.operators.hold_idle_s
+        idle = [m for m in there if m.idle_since is not None and now - m.idle_since >= hold]
+        surplus_ordinary = min(ordinary - need_ordinary, ordinary + spot - need_ordinary - need_spot)
+        surplus_spot = min(spot, ordinary + spot - need_ordinary - need_spot)
+        chosen = sorted((m for m in idle if not m.spot), key=lambda m: m.idle_since)[:max(0, surplus_ordinary)]
+        chosen += sorted((m for m in idle if m.spot), key=lambda m: m.idle_since)[:max(0, surplus_spot - len(chosen))]
+        if chosen:
+            log.info("returning %s: idle for %g s above the target", [m.name for m in chosen], hold)
+            self.mark([m.name for m in chosen], "drain")
+
+    def rent(self, now, machine_type, spot, count):
+        """Asks for machines in the zone that has fewest; False when every zone refused lately."""
+        here = dict.fromkeys(machine_type.zones, 0)
+        for machine in self.machines.values():
+            if machine.zone in here and machine.spot == spot:
+                here[machine.zone] += 1
+        zones = [z for z in machine_type.zones if self.refused.get((machine_type.name, z, spot), 0) <= now]
+        if not zones:
+            return False
+        plan = {}
+        for _ in range(min(count, 50)):
+            zone = min(zones, key=lambda z: (here[z], z))
+            here[zone] += 1
+            plan[zone] = plan.get(zone, 0) + 1
+        for zone, number in plan.items():
+            self.requests += 1
+            request = f"{self.settings.node}-{self.incarnation}-{self.requests}"
+            self.renting[request] = (machine_type.name, zone, spot, number)
+            log.info("renting %d %s %s in %s (%s)", number, "spot" if spot else "ordinary", machine_type.name, zone, request)
+            self.cloud.call("POST", "/hosts", wire.rent(request, machine_type.name, zone, spot, number), 4.0,
+                            self.then("rented", request, now, 0))
+        return True
+
+    def on_rented(self, request, asked, tries, status, body):
+        plan = self.renting.get(request)
+        if plan is None:
+            return
+        name, zone, spot, count = plan
+        names = wire.read_rented(body) if status == 200 else None
+        if names is None and not (status == 503 and isinstance(body, dict) and body.get("error") == "no capacity") and status != 400:
+            # Perhaps carried out: only the same name asked again tells, and rents nothing twice.
+            if tries < 20 and self.leading:
+                self.after(2.0, "rent_again", request, asked, tries)
+            else:
+                del self.renting[request]
+            return
+        del self.renting[request]
+        now = self.now()
+        for machine in names or ():
+            self.machines.setdefault(machine, Machine(machine, name, zone, spot, asked))
+        if len(names or ()) < count:
+            log.info("%s: %d of %d machines in %s; the zone rests", request, len(names or ()), count, zone)
+            self.refused[(name, zone, spot)] = now + 4 * self.operators.cost_round_s
+
+    def on_rent_again(self, request, asked, tries):
+        plan = self.renting.get(request)
+        if plan is not None:
+            self.cloud.call("POST", "/hosts", wire.rent(request, *plan), 4.0, self.then("rented", request, asked, tries + 1))
+
+    def tidy(self, now):
+        """Returns drained machines, boots that failed, and machines that stopped or stay silent."""
+        ready, drain = [], []
+        for machine in self.machines.values():
+            mark = self.marks.get(machine.name, (None,))[0]
+            if machine.name in self.returning or mark == "gone":
+                continue
+            boot = (self.types[machine.type].boot_s if machine.type in self.types else 0) or self.operators.boot_guess_s
+            if mark == "drain":
+                if machine.name not in self.occupied:
+                    ready.append(machine.name)
+            elif mark == "ended":
+                if now - machine.seen > 4 * self.settings.lease_s:
+                    ready.append(machine.name)
+            elif machine.state == "failed":
+                # It has stopped: nothing runs there, and the cloud's 200 will prove it.
+                ready.append(machine.name)
+            elif not machine.seen and now - max(machine.asked, self.since) > 3 * boot and mark is None:
+                log.info("%s never came up; returning it", machine.name)
+                drain.append(machine.name)
+            elif machine.seen and now - machine.seen > 6 * self.settings.lease_s and mark is None:
+                drain.append(machine.name)
+        self.mark(drain, "drain")
+        ready = ready[:100]
+        if ready:
+            self.returning.update(ready)
+            log.info("giving %s back to the cloud", ready)
+            self.cloud.call("POST", "/hosts/return", wire.give_back(ready), 4.0, self.then("given_back", ready))
+
+    def on_given_back(self, names, status, body):
+        self.returning.difference_update(names)
+        if status != 200 or not self.leading:
+            return
+        now = self.now()
+        for name in names:
+            self.machines.pop(name, None)
+            self.returned[name] = now
+        self.mark(names, "gone")
--- /dev/null
+++ b/emberglade/frontdoor/__init__.py
@@ -0,0 +1,5 @@
+"""The front door: submissions, polls, aborts, readiness; strict validation."""
+
+from .door import Door
+
+__all__ = ["Door"]
--- /dev/null
+++ b/emberglade/frontdoor/door.py
@@ -0,0 +1,255 @@
+"""Answers users. Whatever it tells is durable first, and read after the question came.
+
+What can't be done now is answered at once with `Retry-After`: nothing is held back.
+"""
+
+import logging
+from collections import OrderedDict
+
+import orjson
+
+from ..actors import Actor
+from ..jobs.record import Job, job_key, over_key, part_size
+from ..placement import fits_some_type, read_types
+from ..state import LIVE, OVER
+from ..state import wire as state_wire
+from ..state.ledger import DECISIONS, SUBMISSIONS
+from . import wire
+
+log = logging.getLogger("emberglade.frontdoor")
+
+MOST_FINAL = 20_000  # final states kept at hand; others are read from the state service
+RETRY_S = 1
+
+
+class Door(Actor):
+    def __init__(self, settings, ledger, keeper, desk):
+        self.settings = settings
+        self.ledger, self.keeper, self.desk = ledger, keeper, desk
+        self.size = part_size(settings.value_bytes)
+        self.types = {}
+        self.final = OrderedDict()  # job -> (glow, done, tasks): final states never change
+        self.open_submissions = 0
+        # More than a second's worth of the service's write budget can't be accepted in time.
+        self.most_submissions = max(4, int(settings.state_write_rps / settings.size))
+
+    def on_begin(self):
+        self.ledger.tell("subscribe", self)
+
+    def on_contact(self, when):
+        pass
+
+    def on_changed(self, events, revision, whole):
+        for key, data, _ in events:
+            if key == "catalog" and data is not None:
+                self.types = read_types(data)
+
+    # --- requests
+
+    def route(self, method, path, body, reply):
+        """Called by the server's threads."""
+        path = path.partition("?")[0]
+        if path == "/agent/beat":
+            if method != "POST":
+                reply(405, wire.error("POST is needed"))
+                return
+            try:
+                data = orjson.loads(body)
+            except ValueError:
+                reply(400, wire.error("the report is not JSON"))
+                return
+            self.desk.tell("beat", data, reply)
+        elif path == "/ready":
+            if method != "GET":
+                reply(405, wire.error("GET is needed"))
+                return
+            self.desk.tell("ready", lambda ready: reply(200, {"ready": True}) if ready else
+                           reply(503, wire.error("not in step with the state service yet"), RETRY_S))
+        elif path == "/submissions":
+            if method != "POST":
+                reply(405, wire.error("POST is needed"))
+                return
+            self.tell("submit", body, reply)
+        elif path.startswith("/submissions/"):
+            words = path.split("/")[2:]
+            if len(words) == 1 and words[0]:
+                if method != "GET":
+                    reply(405, wire.error("GET is needed"))
+                else:
+                    self.tell("poll", words[0], reply)
+            elif len(words) == 2 and words[0] and words[1] == "abort":
+                if method != "POST":
+                    reply(405, wire.error("POST is needed"))
+                else:
+                    self.tell("abort", words[0], reply, 0)
+            else:
+                reply(404, wire.error("no such path"))
+        else:
+            reply(404, wire.error("no such path"))
+
+    @staticmethod
+    def later(reply, reason):
+        reply(503, wire.error(reason), RETRY_S)
+
+    # --- submissions
+
+    def on_submit(self, body, reply):
+        try:
+            spec = wire.read_submission(orjson.loads(body), self.system.wall())
+        except ValueError:
+            reply(400, wire.error("the body is not JSON"))
+            return
+        except wire.Malformed as reason:
+            reply(400, wire.error(str(reason)))
+            return
+        if spec.id in self.final:
+            self.tell_final(spec.id, reply)
+            return
+        reason = self.never(spec)
+        if reason is not None:
+            # A job accepted earlier is not refused now, whatever has changed since.
+            self.look_up(spec.id, self.then("refusal", reason, reply))
+            return
+        if not self.types:
+            self.later(reply, "the machine types are not known yet")
+            return
+        if self.open_submissions >= self.most_submissions:
+            reply(429, wire.error("too many submissions at once"), RETRY_S)
+            return
+        self.open_submissions += 1
+        job = Job(spec, self.size)
+        self.ledger.tell("commit", SUBMISSIONS, [(LIVE + job_key(spec.id), 0), (OVER + over_key(spec.id), 0)],
+                         [state_wire.put(LIVE + job_key(spec.id), job.encode())], self.then("submitted", spec, reply))
+
+    def never(self, spec):
+        team = self.settings.teams.get(spec.team)
+        if team is None:
+            return f"crew {spec.team} is not known"
+        if self.types and not fits_some_type(spec, self.types):
+            return "a task fits no allowed machine type"
+        count = spec.tasks if spec.service else 1
+        for limit, need, what in ((team.cpus_max, spec.cpus, "cpus"), (team.gpus_max, spec.gpus, "cards")):
+            if limit > 0 and need * count > limit + 1e-9:
+                return f"the job needs more {what} than the limit of {spec.team}"
+        return None
+
+    def on_refusal(self, reason, reply, known, answer):
+        if known is None:
+            self.later(reply, "the state service does not answer")
+        elif known:
+            reply(200, answer)
+        else:
+            reply(422, wire.error(reason))
+
+    def on_submitted(self, spec, reply, status, revision, failed):
+        self.open_submissions -= 1
+        if status == 200:
+            log.info("%s accepted: %d tasks of %g cpus, rank %d, team %s", spec.id, spec.tasks, spec.cpus, spec.rank, spec.team)
+            reply(201, wire.state(spec.id, "pending"))
+        elif status == 409:
+            self.look_up(spec.id, self.then("resubmitted", reply))
+        elif status == 429:
+            reply(429, wire.error("too many requests at once"), RETRY_S)
+        else:
+            self.later(reply, "the state service does not answer")
+
+    def on_resubmitted(self, reply, known, answer):
+        if known:
+            reply(200, answer)
+        else:
+            self.later(reply, "the state service does not answer")
+
+    # --- looking a job up: `reply(known, answer)`, known None when it can't be said now
+
+    def look_up(self, job_id, reply):
+        if job_id in self.final:
+            reply(True, self.final_answer(job_id))
+            return
+        self.ledger.tell("sync", self.then("look_synced", job_id, reply))
+
+    def on_look_synced(self, job_id, reply, revision):
+        if revision is None:
+            reply(None, None)
+            return
+        self.keeper.tell("find", job_id, self.then("look_found", job_id, reply))
+
+    def on_look_found(self, job_id, reply, found):
+        if found is None:
+            # Not live at the sync: over, or never accepted. Final states are never removed.
+            self.ledger.tell("read", DECISIONS, OVER + over_key(job_id), self.then("look_read", job_id, reply))
+            return
+        withdrawn, done, running, _ = found
+        reply(True, wire.state(job_id, "withdrawn" if withdrawn else "running" if running else "pending", done, running))
+
+    def on_look_read(self, job_id, reply, status, data, stamp):
+        if status == 200 and isinstance(data, dict) and data.get("glow") in ("done", "withdrawn"):
+            self.final[job_id] = (data["glow"], data.get("d", 0), data.get("n", 0))
+            if len(self.final) > MOST_FINAL:
+                self.final.popitem(last=False)
+            reply(True, self.final_answer(job_id))
+        elif status == 404:
+            reply(False, None)
+        else:
+            reply(None, None)
+
+    def final_answer(self, job_id):
+        glow, done, _ = self.final[job_id]
+        return wire.state(job_id, glow, done, 0)
+
+    def tell_final(self, job_id, reply):
+        reply(200, self.final_answer(job_id))
+
+    # --- polls
+
+    def on_poll(self, job_id, reply):
+        if not wire.JOB_ID.match(job_id):
+            reply(404, wire.error("no such job"))
+            return
+        self.look_up(job_id, self.then("polled", reply))
+
+    def on_polled(self, reply, known, answer):
+        if known is None:
+            self.later(reply, "the state service does not answer")
+        elif known:
+            reply(200, answer)
+        else:
+            reply(404, wire.error("no such job"))
+
+    # --- aborts
+
+    def on_abort(self, job_id, reply, tries):
+        if not wire.JOB_ID.match(job_id):
+            reply(404, wire.error("no such job"))
+        elif job_id in self.final:
+            self.tell_final(job_id, reply)
+        else:
+            self.ledger.tell("sync", self.then("abort_synced", job_id, reply, tries))
+
+    def on_abort_synced(self, job_id, reply, tries, revision):
+        if revision is None:
+            self.later(reply, "the state service does not answer")
+            return
+        self.ledger.tell("look", [job_key(job_id)], self.then("abort_found", job_id, reply, tries))
+
+    def on_abort_found(self, job_id, reply, tries, found):
+        found = found[job_key(job_id)]
+        if found is None:
+            self.look_up(job_id, self.then("polled", reply))
+            return
+        data, stamp = found
+        if data.get("w"):
+            reply(200, wire.state(job_id, "withdrawn"))
+            return
+        self.ledger.tell("commit", DECISIONS, [(LIVE + job_key(job_id), stamp)],
+                         [state_wire.put(LIVE + job_key(job_id), {**data, "w": 1})],
+                         self.then("aborted", job_id, reply, tries))
+
+    def on_aborted(self, job_id, reply, tries, status, revision, failed):
+        if status == 200:
+            log.info("%s withdrawn by its user", job_id)
+            reply(200, wire.state(job_id, "withdrawn"))
+        elif status == 409 and tries < 8:
+            # Its holder wrote in between.
+            self.on_abort(job_id, reply, tries + 1)
+        else:
+            self.later(reply, "the state service does not answer")
--- /dev/null
+++ b/emberglade/frontdoor/wire.py
@@ -0,0 +1,87 @@
+"""What users say and are told, field names included."""
+
+import math
+import re
+
+from ..jobs.record import RANKS, Spec
+
+JOB_ID = re.compile(r"job-[0-9A-Za-z_-]{1,64}\Z", re.ASCII)
+MOST_TASKS = 100_000
+
+
+class Malformed(Exception):
+    """A one-line reason for the user."""
+
+
+def _amount(data, key, default=None):
+    value = data.get(key)
+    if value is None:
+        if default is None:
+            raise Malformed(f"{key} is missing")
+        return default
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value) or value < 0:
+        raise Malformed(f"{key}: a number of at least 0 is needed")
+    return float(value)
+
+
+def _text(data, key):
+    value = data.get(key)
+    if not isinstance(value, str) or not value:
+        raise Malformed(f"{key}: a text is needed")
+    return value
+
+
+def _flag(data, key):
+    value = data.get(key, False)
+    if value is None:
+        return False
+    if not isinstance(value, bool):
+        raise Malformed(f"{key}: true or false is needed")
+    return value
+
+
+def _or_null(data, key):
+    return None if data.get(key) is None else _text(data, key)
+
+
+def read_submission(data, submitted):
+    """A Spec, or Malformed."""
+    if not isinstance(data, dict):
+        raise Malformed("the body is not a JSON object")
+    job_id = data.get("id")
+    if not isinstance(job_id, str) or not JOB_ID.match(job_id):
+        raise Malformed("id: a job id like job-000412 is needed")
+    shape = data.get("shape")
+    if shape not in ("sweep", "standing"):
+        raise Malformed("shape: sweep or standing is needed")
+    rank = data.get("rank")
+    if rank not in RANKS:
+        raise Malformed(f"rank: one of {', '.join(RANKS)} is needed")
+    tasks = data.get("embers")
+    if isinstance(tasks, bool) or not isinstance(tasks, int) or not 1 <= tasks <= MOST_TASKS:
+        raise Malformed(f"embers: a whole number from 1 to {MOST_TASKS} is needed")
+    types = data.get("hearth_kinds")
+    if types is not None and (not isinstance(types, list) or not types or not all(isinstance(t, str) and t for t in types)):
+        raise Malformed("hearth_kinds: a list of machine types or null is needed")
+    image = data.get("kindling")
+    if image is not None and not isinstance(image, str):
+        raise Malformed("kindling: a text is needed")
+    due = None if data.get("due_s") is None else _amount(data, "due_s")
+    return Spec(
+        id=job_id, breed=_text(data, "breed"), team=_text(data, "crew"), service=shape == "standing", rank=RANKS.index(rank),
+        tasks=tasks, cpus=_amount(data, "cpus"), gpus=_amount(data, "cards", 0.0), ram=_amount(data, "ram_gb"),
+        image=image or "", image_gb=_amount(data, "image_gb", 0.0), types=tuple(types) if types is not None else None,
+        zone=_or_null(data, "glade"), one_zone=_flag(data, "one_zone"), scatter=_flag(data, "scatter"),
+        spot=_flag(data, "driftwood"), estimate_s=_amount(data, "burn_s", 0.0), checkpoint_s=_amount(data, "bank_s", 0.0),
+        save_s=_amount(data, "banking_s", 0.0), deadline_s=due, submitted=round(submitted, 3))
+
+
+def state(job_id, glow, done=None, running=None):
+    answer = {"id": job_id, "glow": glow}
+    if done is not None:
+        answer["done"], answer["running"] = done, running
+    return answer
+
+
+def error(text):
+    return {"error": text}
--- /dev/null
+++ b/emberglade/jobs/record.py
@@ -0,0 +1,211 @@
+"""A job and its tasks as kept in the state service.
+
+The job's own key holds its description and its first part; a part holds the tasks
+[number * part_size, (number + 1) * part_size). Waiting tasks that never ran take no room and
+finished ones are kept as ranges, so 100,000 tasks fit the value limit part by part.
+"""
+
+import zlib
+from dataclasses import dataclass, field
+
+BOUND_BYTES = 48  # upper bound of one bound task in a record
+RANKS = ("critical", "urgent", "normal", "idle")
+
+# How a bound task is to be stopped; 0: not at all.
+KEEP, STOP, SAVE = 0, 1, 2
+
+
+def job_key(job_id):
+    return "j/" + job_id
+
+
+def part_key(job_id, number):
+    return f"t/{job_id}/{number}"
+
+
+def over_key(job_id):
+    return job_id
+
+
+def part_size(value_bytes):
+    """Tasks of a part: three quarters of a value for tasks, the rest for the description."""
+    return max(1, value_bytes * 3 // 4 // BOUND_BYTES)
+
+
+@dataclass
+class Bound:
+    """A task that may be on a machine: attempt, machine, and how it is to be stopped."""
+
+    attempt: int
+    machine: str
+    stop: int = KEEP
+
+
+@dataclass
+class Part:
+    done: set = field(default_factory=set)
+    bound: dict = field(default_factory=dict)
+    tried: dict = field(default_factory=dict)  # task -> last attempt, for tasks neither bound nor done
+    stamp: int = 0
+
+    def encode(self):
+        data = {}
+        if self.done:
+            data["d"] = to_ranges(self.done)
+        if self.bound:
+            data["b"] = {str(n): [b.attempt, b.machine, b.stop] if b.stop else [b.attempt, b.machine]
+                         for n, b in self.bound.items()}
+        if self.tried:
+            data["t"] = {str(n): attempt for n, attempt in self.tried.items()}
+        return data
+
+    @classmethod
+    def decode(cls, data, stamp):
+        return cls(done=from_ranges(data.get("d", ())),
+                   bound={int(n): Bound(*row) for n, row in data.get("b", {}).items()},
+                   tried={int(n): attempt for n, attempt in data.get("t", {}).items()}, stamp=stamp)
+
+
+def to_ranges(numbers):
+    ranges = []
+    for number in sorted(numbers):
+        if ranges and ranges[-1][1] == number - 1:
+            ranges[-1][1] = number
+        else:
+            ranges.append([number, number])
+    return ranges
+
+
+def from_ranges(ranges):
+    found = set()
+    for first, last in ranges:
+        found.update(range(first, last + 1))
+    return found
+
+
+@dataclass(frozen=True)
+class Spec:
+    """What the user asked for, in this project's own words."""
+
+    id: str
+    breed: str
+    team: str
+    service: bool
+    rank: int
+    tasks: int
+    cpus: float
+    gpus: float
+    ram: float
+    image: str
+    image_gb: float
+    types: tuple | None
+    zone: str | None
+    one_zone: bool
+    scatter: bool
+    spot: bool
+    estimate_s: float
+    checkpoint_s: float
+    save_s: float
+    deadline_s: float | None
+    submitted: float  # time of day
+
+    def encode(self):
+        return [self.breed, self.team, int(self.service), self.rank, self.tasks, self.cpus, self.gpus, self.ram,
+                self.image, self.image_gb, list(self.types) if self.types is not None else None, self.zone,
+                int(self.one_zone), int(self.scatter), int(self.spot), self.estimate_s, self.checkpoint_s,
+                self.save_s, self.deadline_s, self.submitted]
+
+    @classmethod
+    def decode(cls, job_id, row):
+        row = list(row)
+        row[2], row[12], row[13], row[14] = bool(row[2]), bool(row[12]), bool(row[13]), bool(row[14])
+        row[10] = tuple(row[10]) if row[10] is not None else None
+        return cls(job_id, *row)
+
+
+class Job:
+    """A job that is not over yet."""
+
+    def __init__(self, spec, size, withdrawn=False):
+        self.spec = spec
+        self.size = size
+        self.withdrawn = withdrawn
+        self.parts = {}
+        self.hold = {}  # task -> earliest next try; not durable
+
+    @property
+    def id(self):
+        return self.spec.id
+
+    def part(self, task):
+        number = task // self.size
+        found = self.parts.get(number)
+        if found is None:
+            found = self.parts[number] = Part()
+        return found
+
+    def stamp(self):
+        return self.parts[0].stamp if 0 in self.parts else 0
+
+    def bound(self):
+        for part in self.parts.values():
+            yield from part.bound.items()
+
+    def bound_count(self):
+        return sum(len(part.bound) for part in self.parts.values())
+
+    def done_count(self):
+        return sum(len(part.done) for part in self.parts.values())
+
+    def finished(self):
+        return not self.spec.service and self.done_count() == self.spec.tasks
+
+    def waiting(self, now, most):
+        """Up to `most` tasks that are neither bound, done nor held back, lowest first."""
+        found = []
+        for number in range((self.spec.tasks + self.size - 1) // self.size):
+            part = self.parts.get(number)
+            first = number * self.size
+            for task in range(first, min(first + self.size, self.spec.tasks)):
+                if part is not None and (task in part.bound or task in part.done):
+                    continue
+                if self.hold and self.hold.get(task, 0) > now:
+                    continue
+                found.append(task)
+                if len(found) >= most:
+                    return found
+        return found
+
+    def waiting_count(self):
+        return self.spec.tasks - self.done_count() - self.bound_count()
+
+    def encode(self):
+        data = {"s": self.spec.encode(), "z": self.size}
+        if self.withdrawn:
+            data["w"] = 1
+        part = self.part(0).encode()
+        if part:
+            data["p"] = part
+        return data
+
+    @classmethod
+    def decode(cls, job_id, data, stamp):
+        job = cls(Spec.decode(job_id, data["s"]), data["z"], bool(data.get("w")))
+        job.parts[0] = Part.decode(data.get("p", {}), stamp)
+        return job
+
+
+def shard_of(spec, teams, shards):
+    """A limited team's jobs share a shard, so that one owner alone enforces the limit."""
+    team = teams.get(spec.team)
+    name = "team " + spec.team if team is not None and team.limited else spec.id
+    return zlib.crc32(name.encode()) % shards
+
+
+def task_name(job_id, task):
+    return f"{job_id}/{task}"
+
+
+def split_task(name):
+    job_id, _, number = name.rpartition("/")
+    return job_id, int(number)
--- /dev/null
+++ b/emberglade/membership/member.py
@@ -0,0 +1,183 @@
+"""Keeps this node's key alive, takes the shards it should hold, and the lead when it is free.
+
+Taking a shard writes its key, and every write to a job is conditional on that key's stamp: a
+former holder can't write any more, however late it learns of it. So nothing here has to be
+exact about who is alive; wrong guesses cost time, never safety.
+"""
+
+import logging
+
+from ..actors import Actor
+from ..state import LIVE
+from ..state import wire as state_wire
+from ..state.ledger import DECISIONS
+
+log = logging.getLogger("emberglade.membership")
+
+SHARDS_PER_NODE = 4
+
+
+def shard_count(settings):
+    return SHARDS_PER_NODE * settings.size
+
+
+class Member(Actor):
+    def __init__(self, settings, ledger, listeners):
+        self.settings, self.ledger = settings, ledger
+        self.listeners = listeners  # actors told `identity(incarnation)`
+        self.lease = None
+        self.incarnation = None
+        # A crashed node is taken over within a third of a worker's lease; it is back sooner.
+        self.life_s = max(0.1, settings.lease_s / 3)
+        self.nodes, self.shards, self.lead = {}, {}, None
+        self.loaded = False
+        self.table = None
+        self.busy_shards = False
+        self.busy_lead = False
+        self.busy_key = False
+        self.key_dirty = True
+
+    def on_begin(self):
+        self.ledger.tell("subscribe", self)
+        self.on_grant()
+        self.after(self.life_s / 3, "touch")
+        self.after(0.5, "tick")
+
+    # --- the lease and the node's key
+
+    def on_grant(self):
+        self.ledger.tell("grant", int(self.life_s * 1000), self.then("granted"))
+
+    def on_granted(self, lease):
+        if not isinstance(lease, int):
+            self.after(0.5, "grant")
+            return
+        self.lease = lease
+        if self.incarnation is None:
+            # The state service never gives a lease's number twice, so neither is this.
+            self.incarnation = lease
+            log.info("this is incarnation %d of %s", lease, self.settings.node)
+            for actor in self.listeners:
+                actor.tell("identity", lease)
+        self.key_dirty = True
+        self.write_key()
+
+    def on_touch(self):
+        self.after(self.life_s / 3, "touch")
+        if self.lease is not None:
+            self.ledger.tell("touch", self.lease, self.then("touched", self.lease))
+
+    def on_touched(self, lease, status):
+        if status == 404 and lease == self.lease:
+            log.info("the node's lease ran out; taking a new one")
+            self.lease = None
+            self.on_grant()
+
+    def on_table(self, table):
+        """The 5 s table of counts and free room, from the agents."""
+        self.table = table
+        self.key_dirty = True
+        self.write_key()
+
+    def write_key(self):
+        if self.busy_key or self.lease is None or not self.key_dirty:
+            return
+        self.busy_key, self.key_dirty = True, False
+        data = {"inc": self.incarnation, "table": self.table}
+        self.ledger.tell("commit", DECISIONS, [], [state_wire.put(LIVE + "n/" + self.settings.node, data, self.lease)],
+                         self.then("key_written", self.lease))
+
+    def on_key_written(self, lease, status, revision, failed):
+        self.busy_key = False
+        if status == 400 and lease == self.lease:
+            self.lease = None
+            self.on_grant()
+        elif status != 200:
+            self.key_dirty = True
+
+    # --- what the copy says
+
+    def on_contact(self, when):
+        pass
+
+    def on_changed(self, events, revision, whole):
+        self.loaded = True
+        if whole:
+            self.nodes, self.shards, self.lead = {}, {}, None
+        touched = False
+        for key, data, stamp in events:
+            if key.startswith("n/"):
+                if data is None:
+                    self.nodes.pop(key[2:], None)
+                else:
+                    self.nodes[key[2:]] = data.get("inc")
+            elif key.startswith("s/"):
+                if data is None:
+                    self.shards.pop(int(key[2:]), None)
+                else:
+                    self.shards[int(key[2:])] = (data.get("node"), data.get("inc"), stamp)
+            elif key == "lead":
+                self.lead = None if data is None else (data.get("node"), data.get("inc"), stamp)
+            else:
+                continue
+            touched = True
+        if touched:
+            self.claim()
+
+    def on_tick(self):
+        self.after(0.5, "tick")
+        if self.settings.node not in self.nodes and self.lease is not None:
+            self.key_dirty = True
+        self.write_key()
+        self.claim()
+
+    def wanted(self, shard):
+        """Who should hold the shard: its home node, or if that is not alive the next live one."""
+        names = self.settings.names
+        home = names[shard % len(names)]
+        if home in self.nodes:
+            return home
+        live = [name for name in names if name in self.nodes]
+        return live[(shard // len(names)) % len(live)] if live else None
+
+    def claim(self):
+        me = self.settings.node
+        if not self.loaded or self.lease is None or self.nodes.get(me) != self.incarnation:
+            return
+        if not self.busy_shards:
+            take = [k for k in range(shard_count(self.settings))
+                    if self.wanted(k) == me and self.shards.get(k, (None, None, 0))[:2] != (me, self.incarnation)]
+            take = take[:self.settings.txn_ops]
+            if take:
+                self.busy_shards = True
+                conditions = [(f"{LIVE}s/{k}", self.shards.get(k, (None, None, 0))[2]) for k in take]
+                writes = [state_wire.put(f"{LIVE}s/{k}", {"node": me, "inc": self.incarnation}) for k in take]
+                log.info("taking shards %s", take)
+                self.ledger.tell("commit", DECISIONS, conditions, writes, self.then("claimed"))
+        if self.lead is None and not self.busy_lead:
+            self.busy_lead = True
+            self.ledger.tell("commit", DECISIONS, [(LIVE + "lead", 0)],
+                             [state_wire.put(LIVE + "lead", {"node": me, "inc": self.incarnation}, self.lease)],
+                             self.then("led", self.lease))
+
+    def on_claimed(self, status, revision, failed):
+        self.ledger.tell("sync", self.then("claim_seen"))
+
+    def on_claim_seen(self, revision):
+        self.busy_shards = False
+        if revision is not None:
+            self.claim()
+
+    def on_led(self, lease, status, revision, failed):
+        if status == 200:
+            log.info("leading from revision %s", revision)
+        elif status == 400 and lease == self.lease:
+            self.lease = None
+            self.on_grant()
+        self.ledger.tell("sync", self.then("lead_seen"))
+
+    def on_lead_seen(self, revision):
+        self.busy_lead = False
+
+
+
--- /dev/null
+++ b/emberglade/placement/demand.py
@@ -0,0 +1,33 @@
+"""The capacity that running and waiting tasks request, in whole machines per pool.
+
+A pool is a machine type and whether its jobs may use spot machines: the design counts per type,
+and spot machines can't serve everyone.
+"""
+
+
+def demand(jobs, types, teams):
+    """{(type, spot): fraction of machines, not rounded, so that nodes' parts can be summed}."""
+    counts = {}
+    used = {}
+    for job in sorted(jobs, key=lambda job: (job.spec.rank, job.spec.submitted)):
+        spec = job.spec
+        tasks = spec.tasks - job.done_count()
+        team = teams.get(spec.team)
+        if team is not None:
+            # What a team's limit keeps from running asks for no machines.
+            for limit, need, slot in ((team.cpus_max, spec.cpus, 0), (team.gpus_max, spec.gpus, 1)):
+                if limit > 0 and need > 0:
+                    taken = used.setdefault(spec.team, [0.0, 0.0])
+                    tasks = max(0, min(tasks, int((limit - taken[slot]) / need + 1e-9)))
+            taken = used.setdefault(spec.team, [0.0, 0.0])
+            taken[0] += tasks * spec.cpus
+            taken[1] += tasks * spec.gpus
+        fitting = [t for t in types.values() if t.allows(spec)]
+        if not fitting or not tasks:
+            continue
+        chosen = min(fitting, key=lambda t: ((t.spot_price if spec.spot else t.price) / t.holds(spec), t.name))
+        share = max(spec.cpus / chosen.cpus if chosen.cpus else 0, spec.ram / chosen.ram if chosen.ram else 0,
+                    spec.gpus / chosen.gpus if chosen.gpus else 0)
+        key = (chosen.name, spec.spot)
+        counts[key] = counts.get(key, 0.0) + tasks * share
+    return counts
--- /dev/null
+++ b/emberglade/placement/room.py
@@ -0,0 +1,105 @@
+"""The free-room table of one round of placing."""
+
+from dataclasses import dataclass
+
+from .types import SLACK, MachineType
+
+
+@dataclass(frozen=True)
+class Machine:
+    name: str
+    type: MachineType
+    zone: str
+    spot: bool
+    open: bool  # heard of lately and not about to be taken
+
+
+def order(spec):
+    """The order in which jobs are served: rank, then what is due first, then age."""
+    due = spec.submitted + spec.deadline_s if spec.deadline_s is not None else float("inf")
+    return spec.rank, due, spec.submitted, spec.id
+
+
+class Room:
+    def __init__(self, inventory, usable, jobs, teams, images):
+        machines = {name: inventory[name] for name in usable}
+        self.machines, self.teams, self.images = machines, teams, images
+        self.free = {name: [m.type.cpus, m.type.gpus, m.type.ram] for name, m in machines.items()}
+        self.count = dict.fromkeys(machines, 0)
+        self.team_use = {}
+        self.zones = {}  # job -> {zone: tasks}
+        self.where = {}  # (job, machine) -> tasks
+        self.zone_of = {name: m.zone for name, m in inventory.items()}
+        self.unplaced_zone = set()
+        for job in jobs:
+            for _, bound in job.bound():
+                self._count(job, bound.machine)
+
+    def _count(self, job, name):
+        spec = job.spec
+        use = self.team_use.setdefault(spec.team, [0.0, 0.0])
+        use[0] += spec.cpus
+        use[1] += spec.gpus
+        free = self.free.get(name)
+        if free is not None:
+            free[0] -= spec.cpus
+            free[1] -= spec.gpus
+            free[2] -= spec.ram
+            self.count[name] += 1
+        zone = self.zone_of.get(name)
+        # A machine that is not known any more may be in any zone: the job has to wait for it
+        # where zones matter.
+        if zone is None:
+            self.unplaced_zone.add(spec.id)
+        else:
+            zones = self.zones.setdefault(spec.id, {})
+            zones[zone] = zones.get(zone, 0) + 1
+        key = (spec.id, name)
+        self.where[key] = self.where.get(key, 0) + 1
+
+    def take(self, job, name):
+        self._count(job, name)
+
+    def within_limit(self, spec):
+        team = self.teams.get(spec.team)
+        if team is None:
+            return False
+        use = self.team_use.get(spec.team, (0.0, 0.0))
+        return ((team.cpus_max <= 0 or use[0] + spec.cpus <= team.cpus_max + SLACK)
+                and (team.gpus_max <= 0 or use[1] + spec.gpus <= team.gpus_max + SLACK))
+
+    def choose(self, job):
+        spec = job.spec
+        if not self.within_limit(spec):
+            return None
+        zones = self.zones.get(spec.id, {})
+        if (spec.one_zone or spec.scatter) and spec.id in self.unplaced_zone:
+            return None
+        half = (spec.tasks + 1) // 2
+        best, best_score = None, None
+        for name, machine in self.machines.items():
+            free = self.free[name]
+            if free[0] + SLACK < spec.cpus or free[2] + SLACK < spec.ram or free[1] + SLACK < spec.gpus:
+                continue
+            if machine.spot and not spec.spot:
+                continue
+            if spec.types is not None and machine.type.name not in spec.types:
+                continue
+            if spec.zone is not None and machine.zone != spec.zone:
+                continue
+            if spec.one_zone and zones and machine.zone not in zones:
+                continue
+            if spec.scatter and zones.get(machine.zone, 0) >= half:
+                continue
+            score = (
+                0 if spec.image_gb <= 0 or self.images.has(name, spec.image) else 1,
+                zones.get(machine.zone, 0) if spec.scatter else 0,
+                self.where.get((spec.id, name), 0) if spec.service else 0,
+                # Cheap machines first for what may use them, so that ordinary room stays free.
+                0 if machine.spot == spec.spot else 1,
+                free[0],
+                name,
+            )
+            if best_score is None or score < best_score:
+                best, best_score = name, score
+        return best
--- /dev/null
+++ b/emberglade/placement/types.py
@@ -0,0 +1,41 @@
+"""Machine types as the catalog gives them and as they are kept."""
+
+from dataclasses import dataclass
+
+SLACK = 1e-9  # amounts are decimal numbers; sums of them are not exact
+
+
+@dataclass(frozen=True)
+class MachineType:
+    name: str
+    cpus: float
+    gpus: float
+    ram: float
+    cache_gb: float
+    fetch_gb_per_s: float
+    price: float
+    spot_price: float
+    boot_s: float
+    zones: tuple
+
+    def holds(self, spec):
+        """How many tasks like this fit an empty machine."""
+        counts = [have / need for have, need in ((self.cpus, spec.cpus), (self.gpus, spec.gpus), (self.ram, spec.ram)) if need > 0]
+        return int(min(counts, default=1000) + SLACK)
+
+    def allows(self, spec):
+        return ((spec.types is None or self.name in spec.types) and (spec.zone is None or spec.zone in self.zones)
+                and self.holds(spec) >= 1)
+
+
+def read_types(data):
+    return {row[0]: MachineType(*row[:9], tuple(row[9])) for row in data["types"]}
+
+
+def write_types(types):
+    return {"types": [[t.name, t.cpus, t.gpus, t.ram, t.cache_gb, t.fetch_gb_per_s, t.price, t.spot_price, t.boot_s, list(t.zones)]
+                      for t in types.values()]}
+
+
+def fits_some_type(spec, types):
+    return any(t.allows(spec) for t in types.values())
--- /dev/null
+++ b/emberglade/state/__init__.py
@@ -0,0 +1,5 @@
+"""The state service's client: a synced copy of the live keys, commits, reads, budgets."""
+
+from .ledger import LIVE, OVER, Ledger
+
+__all__ = ["LIVE", "OVER", "Ledger"]
--- /dev/null
+++ b/emberglade/state/wire.py
@@ -0,0 +1,54 @@
+"""What the state service says and is told, field names included."""
+
+import urllib.parse
+
+
+def get_path(key):
+    return "/store/" + key
+
+
+def list_path(prefix, after, limit):
+    tail = f"&since={urllib.parse.quote(after, safe='/')}" if after else ""
+    return f"/store?under={urllib.parse.quote(prefix, safe='/')}{tail}&limit={limit}"
+
+
+def follow_path(prefix, since, wait_ms):
+    return f"/follow?under={urllib.parse.quote(prefix, safe='/')}&since={since}&wait_ms={wait_ms}"
+
+
+def put(key, data, lease=None):
+    return {"put": key, "data": data} if lease is None else {"put": key, "data": data, "tenure": lease}
+
+
+def remove(key):
+    return {"remove": key}
+
+
+def txn(conditions, writes):
+    return {"when": [{"key": key, "stamp": stamp} for key, stamp in conditions], "writes": writes}
+
+
+def revision(body):
+    value = body.get("ledger_rev") if isinstance(body, dict) else None
+    return value if isinstance(value, int) else None
+
+
+def read_list(body):
+    """([(key, data, stamp)], more, revision) or None when the body is odd."""
+    if not isinstance(body, dict) or revision(body) is None or not isinstance(body.get("pairs", []), list):
+        return None
+    try:
+        return [(p["key"], p["data"], p["stamp"]) for p in body.get("pairs") or []], bool(body.get("has_next")), revision(body)
+    except (TypeError, KeyError):
+        return None
+
+
+def read_news(body):
+    """([(key, data or None, stamp)], revision) or None when the body is odd."""
+    if not isinstance(body, dict) or revision(body) is None:
+        return None
+    try:
+        return [(e["put"], e["data"], e["stamp"]) if "put" in e else (e["remove"], None, e["stamp"])
+                for e in body.get("news") or []], revision(body)
+    except (TypeError, KeyError):
+        return None
