--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -244,7 +244,7 @@
         """Marks a job for its end when nothing more is to come of it."""
         if not self.mine(job):
             return
-        if job.finished() or (job.withdrawn and not job.bound_count()):
+        if job.over():
             self.dirty.add(job_key(job.id))
             self.soon_flush()
 
@@ -266,7 +266,7 @@
                 self.dirty.discard(key)
                 continue
             holder = self.holder(job)
-            ended = job.finished() or (job.withdrawn and not job.bound_count())
+            ended = job.over()
             if len(writes) + (2 if ended else 1) > self.settings.txn_ops or size > 40_000:
                 break
             conditions[f"{LIVE}s/{shard_of(job.spec, self.settings.teams, self.shards)}"] = holder[2]
@@ -275,7 +275,7 @@
                 conditions[LIVE + key] = part.stamp
                 if ended and self.other_parts_clean(job):
                     # The final state outlives the job: polls and retries may come at any time.
-                    end = {"glow": "done" if job.finished() else "withdrawn", "n": job.spec.tasks, "d": job.done_count()}
+                    end = {"glow": "withdrawn" if job.withdrawn else "done", "n": job.spec.tasks, "d": job.done_count()}
                     writes += [state_wire.put(OVER + over_key(job_id), end), state_wire.remove(LIVE + key)]
                     ends.append((job_id, end["glow"]))
                 else:
--- a/emberglade/jobs/record.py
+++ b/emberglade/jobs/record.py
@@ -158,7 +158,12 @@
         return sum(len(part.done) for part in self.parts.values())
 
     def finished(self):
-        return not self.spec.service and self.done_count() == self.spec.tasks
+        # A withdrawn job stays withdrawn, also if its last tasks complete before they are stopped.
+        return not self.spec.service and not self.withdrawn and self.done_count() == self.spec.tasks
+
+    def over(self):
+        """Done, or withdrawn with nothing left on any machine."""
+        return self.finished() or (self.withdrawn and not self.bound_count())
 
     def waiting(self, now, most):
         """Up to `most` tasks that are neither bound, done nor held back, lowest first."""
