--- a/emberglade/agents/desk.py
+++ b/emberglade/agents/desk.py
@@ -33,8 +33,8 @@
         self.settings = settings
         self.ledger, self.keeper, self.member, self.peers = ledger, keeper, member, peers
         self.known = {}
-        self.jobs = {}  # job -> [spec, withdrawn, rev withdrawn was seen at, {part: {task: (attempt, machine, stop, rev)}}]
-        self.bound = {}  # machine -> {(job, task): (attempt, stop, revision at which the stop was seen)}
+        self.jobs = {}  # job -> [spec, withdrawn, rev withdrawn was seen at, {part: {task: (attempt, machine, stop, rev, session)}}]
+        self.bound = {}  # machine -> {(job, task): (attempt, stop, revision at which the stop was seen, session)}
         self.loose = {}
         self.marks = {}
         self.holders = {}
@@ -127,8 +127,8 @@
             before = old.get(task)
             if before is not None and before[0] == bound.attempt and before[2] and bound.stop:
                 since = before[3]
-            new[task] = (bound.attempt, bound.machine, bound.stop, since)
-        for task, (_, machine, _, _) in old.items():
+            new[task] = (bound.attempt, bound.machine, bound.stop, since, bound.session)
+        for task, (_, machine, _, _, _) in old.items():
             if task not in new or new[task][1] != machine:
                 on = self.bound.get(machine)
                 if on is not None:
@@ -136,7 +136,7 @@
                     if not on:
                         del self.bound[machine]
         for task, row in new.items():
-            self.bound.setdefault(row[1], {})[(job_id, task)] = (row[0], row[2], row[3])
+            self.bound.setdefault(row[1], {})[(job_id, task)] = (row[0], row[2], row[3], row[4])
         entry[3][number] = new
 
     # --- reports
@@ -219,7 +219,7 @@
                 commands.append(wire.halt(name, seen.attempt, 0))
         for key, want in bound.items():
             seen = report.tasks.get(key)
-            if seen is not None and seen.attempt == want[0]:
+            if (seen is not None and seen.attempt == want[0]) or report.session != want[3]:
                 continue
             stop, since = self.stop_of(key, want)
             if stop != KEEP:
@@ -254,7 +254,8 @@
                     self.pass_on(key[0], "stop", key[1], want[0], SAVE, "its machine is taken back")
                 continue
             stop, since = self.stop_of(key, want)
-            if stop != KEEP and report.token >= since:
+            if report.session > want[3] or (report.session == want[3] and stop != KEEP and report.token >= since):
+                # Its session is over, or its start can't be accepted any more: it will never run.
                 self.pass_on(key[0], "gone", key[1], want[0], report.machine)
             elif stop == KEEP and report.notice_s is not None:
                 self.pass_on(key[0], "stop", key[1], want[0], SAVE, "its machine is taken back")
@@ -340,7 +341,7 @@
         for name in [n for n, k in self.known.items() if now - k.heard > 10 * self.settings.lease_s]:
             del self.known[name]
         fresh = 3 * self.settings.report_s + 1
-        inventory = {name: Machine(name, self.types[row[1]], row[2], row[3], now - heard < fresh and not row[6])
+        inventory = {name: Machine(name, self.types[row[1]], row[2], row[3], row[4], now - heard < fresh and not row[6])
                      for name, (row, heard) in self.machines().items() if row[1] in self.types}
         self.keeper.tell("inventory", inventory)
 
--- a/emberglade/frontdoor/door.py
+++ b/emberglade/frontdoor/door.py
@@ -171,14 +171,18 @@
         if revision is None:
             reply(None, None)
             return
-        self.keeper.tell("find", job_id, self.then("look_found", job_id, reply))
+        # Not from the keeper, whose view lags while it writes the job itself.
+        self.ledger.tell("look", [job_key(job_id)], self.then("look_found", job_id, reply))
 
     def on_look_found(self, job_id, reply, found):
-        if found is None:
+        row = found[job_key(job_id)]
+        if row is None:
             # Not live at the sync: over, or never accepted. Final states are never removed.
             self.ledger.tell("read", DECISIONS, OVER + over_key(job_id), self.then("look_read", job_id, reply))
             return
-        withdrawn, done, running, _ = found
+        self.keeper.tell("count", job_id, self.then("counted", job_id, bool(row[0].get("w")), reply))
+
+    def on_counted(self, job_id, withdrawn, reply, done, running):
         reply(True, wire.state(job_id, "withdrawn" if withdrawn else "running" if running else "pending", done, running))
 
     def on_look_read(self, job_id, reply, status, data, stamp):
--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -414,17 +414,17 @@
                     break
                 part = job.part(task)
                 attempt = part.tried.pop(task, 0) + 1
-                part.bound[task] = Bound(attempt, machine)
+                part.bound[task] = Bound(attempt, machine, self.inventory[machine].session)
                 room.take(job, machine)
                 self.touch(job, task)
                 budget -= 1
 
     # --- questions of other slices
 
-    def on_find(self, job_id, reply):
-        """`reply(found)` with None or (withdrawn, done, running, tasks)."""
+    def on_count(self, job_id, reply):
+        """`reply(done, bound)`, for display."""
         job = self.jobs.get(job_id)
-        reply(None if job is None else (job.withdrawn, job.done_count(), job.bound_count(), job.spec.tasks))
+        reply(*((0, 0) if job is None else (job.done_count(), job.bound_count())))
 
     def on_demand(self, reply):
         """`reply({pool: machines})`: what own jobs ask for, in whole machines."""
--- a/emberglade/jobs/record.py
+++ b/emberglade/jobs/record.py
@@ -34,10 +34,15 @@
 
 @dataclass
 class Bound:
-    """A task that may be on a machine: attempt, machine, and how it is to be stopped."""
+    """A task that may be on a machine: attempt, machine, its session, and how it is to be stopped.
+
+    An attempt belongs to one session: started again in a later one, a report of the earlier that
+    comes late would pass for its exit while it runs.
+    """
 
     attempt: int
     machine: str
+    session: int
     stop: int = KEEP
 
 
@@ -53,7 +58,7 @@
         if self.done:
             data["d"] = to_ranges(self.done)
         if self.bound:
-            data["b"] = {str(n): [b.attempt, b.machine, b.stop] if b.stop else [b.attempt, b.machine]
+            data["b"] = {str(n): [b.attempt, b.machine, b.session, b.stop] if b.stop else [b.attempt, b.machine, b.session]
                          for n, b in self.bound.items()}
         if self.tried:
             data["t"] = {str(n): attempt for n, attempt in self.tried.items()}
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -11,6 +11,7 @@
     type: MachineType
     zone: str
     spot: bool
+    session: int
     open: bool  # heard of lately and not about to be taken
 
 
