--- a/emberglade/config/operators.py
+++ b/emberglade/config/operators.py
@@ -14,7 +14,7 @@
 class Operators:
     """Defaults are those of DESIGN-emberglade, or marked there as open."""
 
-    epsilon: float = 0.1
+    epsilon: float = 0.5
     cost_round_s: float = 5.0
     pool_premium: float = 6.0
     hold_idle_s: float = 60.0
@@ -22,6 +22,7 @@
     max_lookback_s: float = 600.0
     boot_guess_s: float = 40.0
     seed: int = 0
+    cost_spread: float = 3.0
 
 
 def _message_class():
--- a/emberglade/fleet/steward.py
+++ b/emberglade/fleet/steward.py
@@ -146,7 +146,7 @@
         for pool in total:
             if pool[0] in self.types and pool not in self.sizers:
                 self.sizers[pool] = Sizer(self.experts, self.operators.epsilon, self.operators.cost_round_s,
-                                          self.operators.pool_premium, random.Random(f"{self.operators.seed} {pool}"))
+                                          self.operators.pool_premium, self.operators.cost_spread, random.Random(f"{self.operators.seed} {pool}"))
         for pool, sizer in self.sizers.items():
             machine_type = self.types.get(pool[0])
             if machine_type is not None:
--- a/emberglade/sizing/sizer.py
+++ b/emberglade/sizing/sizer.py
@@ -36,7 +36,8 @@
 
 
 class Sizer:
-    def __init__(self, experts, epsilon, round_s, premium, rng):
+    def __init__(self, experts, epsilon, round_s, premium, spread, rng):
+        self.spread = spread
         self.experts, self.epsilon, self.round_s, self.premium, self.rng = experts, epsilon, int(round_s), premium, rng
         self.weights = [1.0] * len(experts)
         self.history = deque(maxlen=max(self.round_s, *(e.lookback_s for e in experts)))
@@ -75,7 +76,10 @@
     def round(self, boot_s):
         """One cost round; returns the drawn expert's number and its target."""
         costs = self.costs(boot_s)
-        if costs is not None and (largest := max(costs)) > 0:
+        if costs is not None and max(costs) > 0:
+            # The 20-fold experts would make every other difference look small.
+            largest = min(max(costs), self.spread * min(costs)) or max(costs)
+            costs = [min(cost, largest) for cost in costs]
             self.weights = [w * (1 - self.epsilon * c / largest) for w, c in zip(self.weights, costs, strict=True)]
             top = max(self.weights)
             self.weights = [w / top for w in self.weights]
