Every holder plays the placing round through for all jobs

Excluded: stale views of a cut node (the refusals were spread over all three nodes). Kept; each holder still binds its own tasks only.

--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -394,24 +394,35 @@
         now = self.now()
         if not self.loaded or not self.types or self.flight is not None:
             return
-        own = [job for job in self.jobs.values() if not job.withdrawn and self.mine(job)]
-        if not any(job.waiting_count() for job in own):
+        waiting = [job for job in self.jobs.values() if not job.withdrawn and job.waiting_count()]
+        if not any(self.mine(job) for job in waiting):
             return
         room = placement.Room(
             self.inventory,
             [name for name, machine in self.inventory.items()
              if name not in self.marks and self.suspects.get(name, (0, 0))[0] <= now and machine.open],
             self.jobs.values(), self.settings.teams, self.images)
-        own.sort(key=lambda job: placement.order(job.spec))
+        waiting.sort(key=lambda job: placement.order(job.spec))
         budget = self.settings.txn_ops * 4 * self.size
-        for job in own:
-            count = job.waiting_count()
-            if not count or budget <= 0:
+        for job in waiting:
+            # Every holder plays the round through for all jobs, in the same order, and binds only
+            # its own tasks: room that a free machine offers is not fought over by three nodes.
+            mine = self.mine(job)
+            if budget <= 0 and mine:
                 continue
-            for task in job.waiting(now, min(count, 256)):
+            for task in job.waiting(now, min(job.waiting_count(), 256)):
+                if not mine and job.part(task).tried.get(task, 0) > 3:
+                    continue  # its holder may well be holding it back
                 machine = room.choose(job)
                 if machine is None:
                     break
+                if not mine:
+                    room.take(job, machine)
+                    continue
+                log.info("placing %s on %s after %.1f s%s", task_name(job.id, task), machine,
+                         self.system.wall() - job.spec.submitted,
+                         "" if self.images.has(machine, job.spec.image) else f", image {job.spec.image} not cached")
+                self.images.note(machine, job.spec.image, job.spec.image_gb, self.inventory[machine].type.cache_gb)
                 part = job.part(task)
                 attempt = part.tried.pop(task, 0) + 1
                 part.bound[task] = Bound(attempt, machine, self.inventory[machine].session)
