Keep room free for classes that must start sooner than a machine boots

Excluded: decision time (placing happened 0.1 to 0.3 s after acceptance where there was room). Kept: the work of one boot time, from recent arrivals, is counted as demand.

--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 
 from .. import placement
 from ..actors import Actor
@@ -404,7 +405,14 @@
             self.jobs.values(), self.settings.teams, self.images)
         waiting.sort(key=lambda job: placement.order(job.spec))
         budget = self.settings.txn_ops * 4 * self.size
+        spare = placement.headroom(self.jobs.values(), self.settings.objectives, self.types, self.system.wall())
         for job in waiting:
+            for ahead, tasks in [row for row in spare if row[0].spec.rank < job.spec.rank]:
+                spare.remove((ahead, tasks))
+                for _ in range(math.ceil(tasks)):
+                    machine = room.choose(ahead)
+                    if machine is not None:
+                        room.take(ahead, machine)
             # Every holder plays the round through for all jobs, in the same order, and binds only
             # its own tasks: room that a free machine offers is not fought over by three nodes.
             mine = self.mine(job)
@@ -439,7 +447,8 @@
 
     def on_demand(self, reply):
         """`reply({pool: machines})`: what own jobs ask for, in whole machines."""
-        reply(placement.demand([job for job in self.jobs.values() if self.mine(job) and not job.withdrawn],
+        own = [job for job in self.jobs.values() if self.mine(job) and not job.withdrawn]
+        reply(placement.demand(own, placement.headroom(own, self.settings.objectives, self.types, self.system.wall()),
                                self.types, self.settings.teams))
 
     def on_occupied(self, reply):
--- a/emberglade/placement/demand.py
+++ b/emberglade/placement/demand.py
@@ -5,13 +5,13 @@
 """
 
 
-def demand(jobs, types, teams):
+def demand(jobs, spare, types, teams):
     """{(type, spot): fraction of machines, not rounded, so that nodes' parts can be summed}."""
     counts = {}
     used = {}
-    for job in sorted(jobs, key=lambda job: (job.spec.rank, job.spec.submitted)):
-        spec = job.spec
-        tasks = spec.tasks - job.done_count()
+    rows = [(job.spec, job.spec.tasks - job.done_count()) for job in sorted(jobs, key=lambda job: (job.spec.rank, job.spec.submitted))]
+    rows += [(job.spec, tasks) for job, tasks in spare]
+    for spec, tasks in rows:
         team = teams.get(spec.team)
         if team is not None:
             # What a team's limit keeps from running asks for no machines.
--- /dev/null
+++ b/emberglade/placement/headroom.py
@@ -0,0 +1,21 @@
+"""Room kept free for classes that must start sooner than a machine boots.
+
+Cackle hands such work to its elastic pool; without one, the work of a boot time is expected ahead.
+"""
+
+
+def headroom(jobs, objectives, types, wall):
+    """[(latest job of the class, tasks expected within a boot time)] for classes with a `wait` aim."""
+    boot_s = max((t.boot_s for t in types.values()), default=0.0)
+    urgent = {o.breed for o in objectives if o.kind == "wait" and o.within_s is not None and o.within_s < boot_s}
+    window = 4 * boot_s
+    found = {}
+    for job in jobs:
+        spec = job.spec
+        if spec.breed not in urgent:
+            continue
+        latest, tasks = found.get(spec.breed, (job, 0))
+        if spec.submitted > wall - window:
+            tasks += spec.tasks
+        found[spec.breed] = (max(latest, job, key=lambda j: (j.spec.submitted, j.id)), tasks)
+    return [(job, tasks * boot_s / window) for job, tasks in found.values() if tasks]
