--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -98,7 +98,7 @@
                 self.where.get((spec.id, name), 0) if spec.service else 0,
                 # Cheap machines first for what may use them, so that ordinary room stays free.
                 0 if machine.spot == spec.spot else 1,
-                free[0],
+                # The same machines first at all times, so that the others fall idle and go back.
                 name,
             )
             if best_score is None or score < best_score:
