--- a/emberglade/frontdoor/door.py
+++ b/emberglade/frontdoor/door.py
@@ -144,7 +144,8 @@
     def on_submitted(self, spec, reply, status, revision, failed):
         self.open_submissions -= 1
         if status == 200:
-            log.info("%s accepted: %d tasks of %g cpus, rank %d, team %s", spec.id, spec.tasks, spec.cpus, spec.rank, spec.team)
+            log.info("%s accepted: %d tasks of %g cpus, rank %d, team %s, due %s", spec.id, spec.tasks, spec.cpus, spec.rank, spec.team,
+                     "never" if spec.deadline_s is None else f"in {spec.deadline_s:g} s")
             reply(201, wire.state(spec.id, "pending"))
         elif status == 409:
             self.look_up(spec.id, self.then("resubmitted", reply))
--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -308,7 +308,7 @@
                 part.stamp = revision
             for job_id, glow in ends:
                 job = self.jobs.pop(job_id, None)
-                log.info("%s is %s", job_id, glow)
+                log.info("%s is %s after %.1f s", job_id, glow, self.system.wall() - job.spec.submitted if job else 0)
                 if job is not None and len(job.parts) > 1:
                     self.drop_parts(job)
             deferred, self.deferred = self.deferred, {}
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -26,10 +26,9 @@
         machines = {name: inventory[name] for name in usable}
         self.machines, self.teams, self.images = machines, teams, images
         self.free = {name: [m.type.cpus, m.type.gpus, m.type.ram] for name, m in machines.items()}
-        self.count = dict.fromkeys(machines, 0)
         self.team_use = {}
         self.zones = {}  # job -> {zone: tasks}
-        self.where = {}  # (job, machine) -> tasks
+        self.replicas = dict.fromkeys(machines, 0)
         self.zone_of = {name: m.zone for name, m in inventory.items()}
         self.unplaced_zone = set()
         for job in jobs:
@@ -46,7 +45,7 @@
             free[0] -= spec.cpus
             free[1] -= spec.gpus
             free[2] -= spec.ram
-            self.count[name] += 1
+            self.replicas[name] += spec.service
         zone = self.zone_of.get(name)
         # A machine that is not known any more may be in any zone: the job has to wait for it
         # where zones matter.
@@ -55,8 +54,6 @@
         else:
             zones = self.zones.setdefault(spec.id, {})
             zones[zone] = zones.get(zone, 0) + 1
-        key = (spec.id, name)
-        self.where[key] = self.where.get(key, 0) + 1
 
     def take(self, job, name):
         self._count(job, name)
@@ -94,8 +91,8 @@
                 continue
             score = (
                 0 if spec.image_gb <= 0 or self.images.has(name, spec.image) else 1,
-                zones.get(machine.zone, 0) if spec.scatter else 0,
-                self.where.get((spec.id, name), 0) if spec.service else 0,
+                # Replicas live long: on few machines they keep few from going back.
+                -self.replicas[name] if spec.service else 0,
                 # Cheap machines first for what may use them, so that ordinary room stays free.
                 0 if machine.spot == spec.spot else 1,
                 # The same machines first at all times, so that the others fall idle and go back.
