--- a/emberglade/agents/desk.py
+++ b/emberglade/agents/desk.py
@@ -260,6 +260,10 @@
             elif stop == KEEP and report.notice_s is not None:
                 self.pass_on(key[0], "stop", key[1], want[0], SAVE, "its machine is taken back")
 
+    def on_ask_stop(self, job_id, task, attempt, how, reason):
+        """The keeper wants a task stopped that another node holds."""
+        self.pass_on(job_id, "stop", task, attempt, how, reason)
+
     def pass_on(self, job_id, message, *args):
         entry = self.jobs.get(job_id)
         if entry is None:
--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -53,6 +53,9 @@
         self.suspects = {}  # machine -> (until, errors)
         self.errors = {}  # job -> machines on which a task of it ended in error
         self.loaded = False
+        self.desk = None  # set when the node is put together
+        self.bound_at = {}  # (job, task, attempt) -> when it was first seen bound here
+        self.asked = {}  # the same -> when its holder was asked to stop it
 
     def on_begin(self):
         self.ledger.tell("subscribe", self)
@@ -437,6 +440,75 @@
                 room.take(job, machine)
                 self.touch(job, task)
                 budget -= 1
+        self.preempt(now, waiting, room)
+
+    def pressing(self, job, now):
+        """Whether a waiting job may have others stopped now: a deadline leaves room for patience."""
+        spec = job.spec
+        age = self.system.wall() - spec.submitted
+        if spec.service:
+            return age > 2 * self.settings.report_s / 10
+        if spec.deadline_s is not None:
+            return spec.deadline_s - age < spec.estimate_s * 1.5 + self.settings.lease_s
+        return spec.rank < 2 and age > self.settings.lease_s
+
+    def preempt(self, now, waiting, room):
+        keys = set()
+        bound = []
+        for job in self.jobs.values():
+            for task, b in job.bound():
+                key = (job.id, task, b.attempt)
+                keys.add(key)
+                self.bound_at.setdefault(key, now)
+                bound.append((job, task, b))
+        self.bound_at = {key: at for key, at in self.bound_at.items() if key in keys}
+        self.asked = {key: at for key, at in self.asked.items() if key in keys and now - at < 2 * self.settings.report_s}
+        own = [job for job in waiting if self.mine(job) and job.waiting_count() and self.pressing(job, now)]
+        if not own:
+            return
+
+        def stopping(row):
+            return row[2].stop != KEEP or row[0].withdrawn or (row[0].id, row[1], row[2].attempt) in self.asked
+
+        def fresh(row):
+            # A start that is stopped within 30 s does not count as one for its user.
+            return now - self.bound_at[(row[0].id, row[1], row[2].attempt)] < 30
+
+        # What is being stopped already will be room; it is counted as such, not stopped for twice.
+        keep = [row for row in bound if not stopping(row)]
+        for row in bound:
+            if stopping(row):
+                room.give(row[0], row[2].machine)
+        for job in own:
+            most = min(job.waiting_count(), 64)
+            for _ in range(most):
+                if not room.within_limit(job.spec):
+                    victims = placement.preempt.for_limit(job.spec, 1, keep, room, self.settings.teams, fresh)
+                    if not victims:
+                        break
+                elif room.choose(job) is not None:
+                    room.take(job, room.choose(job))
+                    continue
+                else:
+                    found = placement.preempt.for_room(job, keep, room, self.settings.teams, fresh)
+                    if found is None:
+                        break
+                    victims = found[1]
+                for row in victims:
+                    keep.remove(row)
+                    room.give(row[0], row[2].machine)
+                    self.ask_stop(now, row, f"room for {job.id}")
+                chosen = room.choose(job)
+                if chosen is not None:
+                    room.take(job, chosen)
+
+    def ask_stop(self, now, row, reason):
+        job, task, bound = row
+        if self.mine(job):
+            self.stop(job, task, SAVE, reason)
+        else:
+            self.asked[(job.id, task, bound.attempt)] = now
+            self.desk.tell("ask_stop", job.id, task, bound.attempt, SAVE, reason)
 
     # --- questions of other slices
 
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -55,6 +55,7 @@
     listeners = [keeper]
     member = Member(settings, ledger, listeners)
     desk = Desk(settings, ledger, keeper, member, peer_links)
+    keeper.desk = desk
     steward = Steward(settings, operators, ledger, keeper, desk, cloud_link)
     door = Door(settings, ledger, keeper, desk)
     listeners += [desk, steward]
--- a/emberglade/placement/__init__.py
+++ b/emberglade/placement/__init__.py
@@ -1,9 +1,10 @@
 """Placement: types, free room, fit, zones, team limits, image locality. Pure, no messages."""
 
+from . import preempt
 from .demand import demand
 from .headroom import headroom
 from .images import ImageCaches
 from .room import Machine, Room, order
 from .types import MachineType, fits_some_type, read_types, write_types
 
-__all__ = ["ImageCaches", "Machine", "MachineType", "Room", "demand", "fits_some_type", "headroom", "order", "read_types", "write_types"]
+__all__ = ["ImageCaches", "Machine", "MachineType", "Room", "demand", "fits_some_type", "headroom", "order", "preempt", "read_types", "write_types"]
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -58,6 +58,18 @@
     def take(self, job, name):
         self._count(job, name)
 
+    def give(self, job, name):
+        """Counts a task as gone; its zone stays taken until it really is."""
+        spec = job.spec
+        use = self.team_use[spec.team]
+        use[0] -= spec.cpus
+        use[1] -= spec.gpus
+        free = self.free.get(name)
+        if free is not None:
+            free[0] += spec.cpus
+            free[1] += spec.gpus
+            free[2] += spec.ram
+
     def within_limit(self, spec):
         team = self.teams.get(spec.team)
         if team is None:
@@ -66,28 +78,36 @@
         return ((team.cpus_max <= 0 or use[0] + spec.cpus <= team.cpus_max + SLACK)
                 and (team.gpus_max <= 0 or use[1] + spec.gpus <= team.gpus_max + SLACK))
 
+    @staticmethod
+    def fits(spec, free):
+        return free[0] + SLACK >= spec.cpus and free[2] + SLACK >= spec.ram and free[1] + SLACK >= spec.gpus
+
+    def allowed(self, job, name):
+        """Whether kind, type and zone of the machine suit the job, given its other tasks."""
+        spec, machine = job.spec, self.machines[name]
+        if machine.spot and not spec.spot:
+            return False
+        if spec.types is not None and machine.type.name not in spec.types:
+            return False
+        if spec.zone is not None and machine.zone != spec.zone:
+            return False
+        if spec.one_zone or spec.scatter:
+            zones = self.zones.get(spec.id, {})
+            if spec.id in self.unplaced_zone:
+                return False
+            if spec.one_zone and zones and machine.zone not in zones:
+                return False
+            if spec.scatter and zones.get(machine.zone, 0) >= (spec.tasks + 1) // 2:
+                return False
+        return True
+
     def choose(self, job):
         spec = job.spec
         if not self.within_limit(spec):
             return None
-        zones = self.zones.get(spec.id, {})
-        if (spec.one_zone or spec.scatter) and spec.id in self.unplaced_zone:
-            return None
-        half = (spec.tasks + 1) // 2
         best, best_score = None, None
         for name, machine in self.machines.items():
-            free = self.free[name]
-            if free[0] + SLACK < spec.cpus or free[2] + SLACK < spec.ram or free[1] + SLACK < spec.gpus:
-                continue
-            if machine.spot and not spec.spot:
-                continue
-            if spec.types is not None and machine.type.name not in spec.types:
-                continue
-            if spec.zone is not None and machine.zone != spec.zone:
-                continue
-            if spec.one_zone and zones and machine.zone not in zones:
-                continue
-            if spec.scatter and zones.get(machine.zone, 0) >= half:
+            if not self.fits(spec, self.free[name]) or not self.allowed(job, name):
                 continue
             score = (
                 0 if spec.image_gb <= 0 or self.images.has(name, spec.image) else 1,
