--- a/emberglade/config/operators.py
+++ b/emberglade/config/operators.py
@@ -22,7 +22,8 @@
     max_lookback_s: float = 600.0
     boot_guess_s: float = 40.0
     seed: int = 0
-    cost_spread: float = 3.0
+    cost_spread: float = 2.0
+    share: float = 0.001
 
 
 def _message_class():
--- a/emberglade/fleet/steward.py
+++ b/emberglade/fleet/steward.py
@@ -146,7 +146,7 @@
         for pool in total:
             if pool[0] in self.types and pool not in self.sizers:
                 self.sizers[pool] = Sizer(self.experts, self.operators.epsilon, self.operators.cost_round_s,
-                                          self.operators.pool_premium, self.operators.cost_spread, random.Random(f"{self.operators.seed} {pool}"))
+                                          self.operators.pool_premium, self.operators.cost_spread, self.operators.share, random.Random(f"{self.operators.seed} {pool}"))
         for pool, sizer in self.sizers.items():
             machine_type = self.types.get(pool[0])
             if machine_type is not None:
@@ -295,6 +295,9 @@
         need_ordinary, need_spot = self.targets.get((name, False), 0), self.targets.get((name, True), 0)
         short_ordinary = need_ordinary - ordinary
         short_any = need_spot - spot - max(0, -short_ordinary)
+        log.info("%s: %d ordinary and %d spot there, %d and %d idle; targets %d and %d", name, ordinary, spot,
+                 sum(m.idle_since is not None and not m.spot for m in there), sum(m.idle_since is not None and m.spot for m in there),
+                 need_ordinary, need_spot)
         if short_ordinary > 0:
             self.rent(now, machine_type, False, short_ordinary)
         if short_any > 0:
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -112,7 +112,7 @@
             score = (
                 0 if spec.image_gb <= 0 or self.images.has(name, spec.image) else 1,
                 # Replicas live long: on few machines they keep few from going back.
-                -self.replicas[name] if spec.service else 0,
+                -self.replicas[name] if spec.service else self.replicas[name] > 0,
                 # Cheap machines first for what may use them, so that ordinary room stays free.
                 0 if machine.spot == spec.spot else 1,
                 # The same machines first at all times, so that the others fall idle and go back.
--- a/emberglade/sizing/sizer.py
+++ b/emberglade/sizing/sizer.py
@@ -36,10 +36,10 @@
 
 
 class Sizer:
-    def __init__(self, experts, epsilon, round_s, premium, spread, rng):
-        self.spread = spread
+    def __init__(self, experts, epsilon, round_s, premium, spread, share, rng):
+        self.spread, self.share = spread, share
         self.experts, self.epsilon, self.round_s, self.premium, self.rng = experts, epsilon, int(round_s), premium, rng
-        self.weights = [1.0] * len(experts)
+        self.weights = [1 / len(experts)] * len(experts)
         self.history = deque(maxlen=max(self.round_s, *(e.lookback_s for e in experts)))
         self.prices = deque(maxlen=self.round_s)
         self.targets = []  # one row of targets per round, oldest first
@@ -77,12 +77,16 @@
         """One cost round; returns the drawn expert's number and its target."""
         costs = self.costs(boot_s)
         if costs is not None and max(costs) > 0:
-            # The 20-fold experts would make every other difference look small.
-            largest = min(max(costs), self.spread * min(costs)) or max(costs)
-            costs = [min(cost, largest) for cost in costs]
-            self.weights = [w * (1 - self.epsilon * c / largest) for w, c in zip(self.weights, costs, strict=True)]
-            top = max(self.weights)
-            self.weights = [w / top for w in self.weights]
+            # What counts is what a round cost beyond the best expert's; the 20-fold experts would
+            # make every other difference look small, so the largest is bounded.
+            best = min(costs)
+            largest = min(max(costs), self.spread * best) - best or max(costs)
+            self.weights = [w * (1 - self.epsilon * min(1.0, (c - best) / largest))
+                            for w, c in zip(self.weights, costs, strict=True)]
+            # A share of all weight is spread anew, or experts of another hour could not come back.
+            total = sum(self.weights)
+            even = self.share / len(self.weights)
+            self.weights = [w / total * (1 - self.share) + even for w in self.weights]
         row = self.expert_targets()
         self.targets.append(row)
         del self.targets[:-64]
