--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -406,9 +406,10 @@
             [name for name, machine in self.inventory.items()
              if name not in self.marks and self.suspects.get(name, (0, 0))[0] <= now and machine.open],
             self.jobs.values(), self.settings.teams, self.images)
-        waiting.sort(key=lambda job: placement.order(job.spec))
+        wall = self.system.wall()
+        waiting.sort(key=lambda job: placement.order(job.spec, self.settings.objectives, wall))
         budget = self.settings.txn_ops * 4 * self.size
-        spare = placement.headroom(self.jobs.values(), self.settings.objectives, self.types, self.system.wall())
+        spare = placement.headroom(self.jobs.values(), self.settings.objectives, self.types, wall)
         for job in waiting:
             for ahead, tasks in [row for row in spare if row[0].spec.rank < job.spec.rank]:
                 spare.remove((ahead, tasks))
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -4,6 +4,8 @@
 
 from .types import SLACK, MachineType
 
+LEAST_OF_ESTIMATE = 0.6  # estimates are often wrong by half
+
 
 @dataclass(frozen=True)
 class Machine:
@@ -15,10 +17,18 @@
     open: bool  # heard of lately and not about to be taken
 
 
-def order(spec):
-    """The order in which jobs are served: rank, then what is due first, then age."""
-    due = spec.submitted + spec.deadline_s if spec.deadline_s is not None else float("inf")
-    return spec.rank, due, spec.submitted, spec.id
+def order(spec, objectives, wall):
+    """The order in which jobs are served: rank, then what is due first, then age.
+
+    Due is a job's own deadline or its class's aim on finishing; within a rank, what can't be in
+    time any more comes after what still can.
+    """
+    within = spec.deadline_s
+    if within is None:
+        within = min((o.within_s for o in objectives if o.kind == "finished" and o.breed == spec.breed and o.within_s), default=None)
+    due = spec.submitted + within if within is not None else float("inf")
+    late = due - wall < spec.estimate_s * LEAST_OF_ESTIMATE
+    return spec.rank, late, due, spec.submitted, spec.id
 
 
 class Room:
