--- a/emberglade/placement/headroom.py
+++ b/emberglade/placement/headroom.py
@@ -5,7 +5,10 @@
 
 
 def headroom(jobs, objectives, types, wall):
-    """[(latest job of the class, tasks expected within a boot time)] for classes with a `wait` aim."""
+    """[(a job, tasks like it expected within a boot time)], by image, for classes with a `wait` aim.
+
+    By image, since room on a machine that would have to fetch the image first is no help.
+    """
     boot_s = max((t.boot_s for t in types.values()), default=0.0)
     urgent = {o.breed for o in objectives if o.kind == "wait" and o.within_s is not None and o.within_s < boot_s}
     window = 4 * boot_s
@@ -14,8 +17,9 @@
         spec = job.spec
         if spec.breed not in urgent:
             continue
-        latest, tasks = found.get(spec.breed, (job, 0))
+        key = (spec.breed, spec.image)
+        latest, tasks = found.get(key, (job, 0))
         if spec.submitted > wall - window:
             tasks += spec.tasks
-        found[spec.breed] = (max(latest, job, key=lambda j: (j.spec.submitted, j.id)), tasks)
+        found[key] = (max(latest, job, key=lambda j: (j.spec.submitted, j.id)), tasks)
     return [(job, tasks * boot_s / window) for job, tasks in found.values() if tasks]
