--- a/emberglade/frontdoor/door.py
+++ b/emberglade/frontdoor/door.py
@@ -127,7 +127,7 @@
             return f"crew {spec.team} is not known"
         if self.types and not fits_some_type(spec, self.types):
             return "a task fits no allowed machine type"
-        count = spec.tasks if spec.service else 1
+        count = spec.tasks if spec.service or spec.together else 1
         for limit, need, what in ((team.cpus_max, spec.cpus, "cpus"), (team.gpus_max, spec.gpus, "cards")):
             if limit > 0 and need * count > limit + 1e-9:
                 return f"the job needs more {what} than the limit of {spec.team}"
--- a/emberglade/frontdoor/wire.py
+++ b/emberglade/frontdoor/wire.py
@@ -52,8 +52,9 @@
     if not isinstance(job_id, str) or not JOB_ID.match(job_id):
         raise Malformed("id: a job id like job-000412 is needed")
     shape = data.get("shape")
-    if shape not in ("sweep", "standing"):
-        raise Malformed("shape: sweep or standing is needed")
+    # `group` is not in PROTOCOL, but in what platforms send (docs/questions.md).
+    if shape not in ("sweep", "standing", "group"):
+        raise Malformed("shape: sweep, standing or group is needed")
     rank = data.get("rank")
     if rank not in RANKS:
         raise Malformed(f"rank: one of {', '.join(RANKS)} is needed")
@@ -73,7 +74,7 @@
         image=image or "", image_gb=_amount(data, "image_gb", 0.0), types=tuple(types) if types is not None else None,
         zone=_or_null(data, "glade"), one_zone=_flag(data, "one_zone"), scatter=_flag(data, "scatter"),
         spot=_flag(data, "driftwood"), estimate_s=_amount(data, "burn_s", 0.0), checkpoint_s=_amount(data, "bank_s", 0.0),
-        save_s=_amount(data, "banking_s", 0.0), deadline_s=due, submitted=round(submitted, 3))
+        save_s=_amount(data, "banking_s", 0.0), deadline_s=due, submitted=round(submitted, 3), together=shape == "group")
 
 
 def state(job_id, glow, done=None, running=None):
--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -186,6 +186,8 @@
                      "the job fails everywhere and is slowed" if broken_job else "the machine rests")
         elif why in ("full", "busy"):
             self.suspects[machine] = (now + self.settings.report_s * 2, self.suspects.get(machine, (0, 0))[1])
+        elif why in ("incomplete", "mates_gone"):
+            job.hold[task] = now + self.settings.report_s
         elif why == "no_such":
             job.hold[task] = now + lease / 2
         elif why == "done":
@@ -422,6 +424,8 @@
             mine = self.mine(job)
             if budget <= 0 and mine:
                 continue
+            if job.spec.together and not job.bound_count() and not room.holds_all(job, job.waiting_count()):
+                continue
             for task in job.waiting(now, min(job.waiting_count(), 256)):
                 if not mine and job.part(task).tried.get(task, 0) > 3:
                     continue  # its holder may well be holding it back
--- a/emberglade/jobs/record.py
+++ b/emberglade/jobs/record.py
@@ -113,17 +113,19 @@
     save_s: float
     deadline_s: float | None
     submitted: float  # time of day
+    together: bool = False  # tasks run only all at once
 
     def encode(self):
         return [self.breed, self.team, int(self.service), self.rank, self.tasks, self.cpus, self.gpus, self.ram,
                 self.image, self.image_gb, list(self.types) if self.types is not None else None, self.zone,
                 int(self.one_zone), int(self.scatter), int(self.spot), self.estimate_s, self.checkpoint_s,
-                self.save_s, self.deadline_s, self.submitted]
+                self.save_s, self.deadline_s, self.submitted, int(self.together)]
 
     @classmethod
     def decode(cls, job_id, row):
         row = list(row)
         row[2], row[12], row[13], row[14] = bool(row[2]), bool(row[12]), bool(row[13]), bool(row[14])
+        row[20] = bool(row[20])
         row[10] = tuple(row[10]) if row[10] is not None else None
         return cls(job_id, *row)
 
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -111,6 +111,20 @@
                 return False
         return True
 
+    def holds_all(self, job, count):
+        """Whether `count` tasks of the job would find room now."""
+        taken = []
+        while len(taken) < count and (name := self.choose(job)) is not None:
+            self.take(job, name)
+            taken.append(name)
+        for name in taken:
+            self.give(job, name)
+            zones = self.zones[job.spec.id]
+            zones[self.zone_of[name]] -= 1
+            if not zones[self.zone_of[name]]:
+                del zones[self.zone_of[name]]
+        return len(taken) == count
+
     def choose(self, job):
         spec = job.spec
         if not self.within_limit(spec):
--- a/emberglade/sizing/sizer.py
+++ b/emberglade/sizing/sizer.py
@@ -80,7 +80,10 @@
             # What counts is what a round cost beyond the best expert's; the 20-fold experts would
             # make every other difference look small, so the largest is bounded.
             best = min(costs)
-            largest = min(max(costs), self.spread * best) - best or max(costs)
+            largest = min(max(costs), self.spread * best) - best
+            if largest <= 0:
+                # With nothing to do the best cost nothing: whoever paid at all pays in full.
+                largest = min((c - best for c in costs if c > best), default=1.0)
             self.weights = [w * (1 - self.epsilon * min(1.0, (c - best) / largest))
                             for w, c in zip(self.weights, costs, strict=True)]
             # A share of all weight is spread anew, or experts of another hour could not come back.
