Direct starts under revision tokens; contact means a sync that was answered

Cause: a start waited for its machine's next report (0.75 s in the mean, 1.9 s at most); and a node whose syncs failed while other requests passed counted as in contact.

--- a/emberglade/agents/desk.py
+++ b/emberglade/agents/desk.py
@@ -29,7 +29,9 @@
 
 
 class Desk(Actor):
-    def __init__(self, settings, ledger, keeper, member, peers):
+    def __init__(self, settings, ledger, keeper, member, peers, workers):
+        self.workers = workers
+        self.fresh = []  # bindings that came with the change at hand
         self.settings = settings
         self.ledger, self.keeper, self.member, self.peers = ledger, keeper, member, peers
         self.known = {}
@@ -71,6 +73,9 @@
         for key, data, stamp in events:
             self.absorb(key, data, stamp)
         self.revision = max(self.revision, revision)
+        fresh, self.fresh = self.fresh, []
+        if not whole:
+            self.start_directly(fresh)
 
     def absorb(self, key, data, stamp):
         if key.startswith("j/"):
@@ -136,6 +141,8 @@
                     if not on:
                         del self.bound[machine]
         for task, row in new.items():
+            if not row[2] and (task not in old or old[task][0] != row[0]):
+                self.fresh.append((job_id, task, row[0], row[1], row[4]))
             self.bound.setdefault(row[1], {})[(job_id, task)] = (row[0], row[2], row[3], row[4])
         entry[3][number] = new
 
@@ -241,6 +248,45 @@
             return 1, (min(want[2], entry[2]) if want[1] else entry[2])
         return want[1], want[2]
 
+    # --- direct commands
+
+    def start_directly(self, fresh):
+        """Starts what was just bound without waiting for the machine's next report.
+
+        The token is the revision of the copy that shows the binding. Whatever ends the binding is
+        committed later and fenced with that later revision, or ends the session named here; so
+        however late this arrives, it can't act after either (docs/safety.md, 6).
+        """
+        machines = {}
+        for job_id, task, attempt, machine, session in fresh:
+            entry = self.jobs.get(job_id)
+            if entry is not None and not entry[1] and self.holder_of(entry[0]) == self.settings.node:
+                machines.setdefault((machine, session), []).append(wire.start(task_name(job_id, task), attempt))
+        rows = self.machines() if machines else {}
+        for (machine, session), commands in machines.items():
+            row, heard = rows.get(machine, (None, 0))
+            if row is None or not row[7] or row[4] != session or row[6] or machine in self.marks \
+                    or self.now() - heard > 2 * self.settings.report_s:
+                continue
+            self.workers.call(row[7], "POST", "/commands", wire.orders(self.revision, session, commands),
+                              self.settings.report_s, self.then("ordered", machine))
+
+    def on_ordered(self, machine, status, body):
+        """200 or 409: the body is the worker's report, newer than what is known here."""
+        if status not in (200, 409):
+            return
+        try:
+            report = wire.read_report(body)
+        except ValueError as error:
+            log.info("%s answered a command with an odd report: %s", machine, error)
+            return
+        known = self.known.get(report.machine)
+        # Direct commands renew no lease, and where the worker reports is not this node's to say.
+        if known is not None and known.report.age < report.age:
+            known.report = report
+            known.heard = self.now()
+        self.tell_holders(report)
+
     # --- telling the holders of jobs
 
     def tell_holders(self, report):
@@ -264,11 +310,14 @@
         """The keeper wants a task stopped that another node holds."""
         self.pass_on(job_id, "stop", task, attempt, how, reason)
 
+    def holder_of(self, spec):
+        return self.holders.get(shard_of(spec, self.settings.teams, shard_count(self.settings)))
+
     def pass_on(self, job_id, message, *args):
         entry = self.jobs.get(job_id)
         if entry is None:
             return
-        node = self.holders.get(shard_of(entry[0], self.settings.teams, shard_count(self.settings)))
+        node = self.holder_of(entry[0])
         if node == self.settings.node:
             self.keeper.tell(message, job_id, *args)
         elif node in self.peers:
@@ -294,7 +343,7 @@
     def on_heard_synced(self, reply, revision):
         now = self.now()
         rows = {name: [round(now - max(k.heard, k.answered), 3), k.report.type, k.report.zone, k.report.spot, k.report.session,
-                       k.report.tally, k.report.notice_s is not None]
+                       k.report.tally, k.report.notice_s is not None, k.report.addr]
                 for name, k in self.known.items() if now - k.heard < 10 * self.settings.lease_s}
         reply(200, {"up": now - self.born, "contact": min(1e6, now - self.contact), "rev": revision, "known": rows})
 
@@ -337,7 +386,7 @@
                 see(name, row, got - row[0])
         for name, k in self.known.items():
             see(name, [0, k.report.type, k.report.zone, k.report.spot, k.report.session, k.report.tally,
-                       k.report.notice_s is not None], max(k.heard, k.answered))
+                       k.report.notice_s is not None, k.report.addr], max(k.heard, k.answered))
         return found
 
     def tell_inventory(self):
@@ -389,6 +438,6 @@
     def on_table_demand(self, demand):
         now = self.now()
         rows = {name: [0, k.report.type, k.report.zone, k.report.spot, k.report.session, k.report.tally,
-                       k.report.notice_s is not None]
+                       k.report.notice_s is not None, k.report.addr]
                 for name, k in self.known.items() if now - k.heard < self.settings.lease_s}
         self.member.tell("table", {"d": [[*pool, round(count, 4)] for pool, count in demand.items()], "m": rows})
--- a/emberglade/agents/wire.py
+++ b/emberglade/agents/wire.py
@@ -83,5 +83,9 @@
     return {"torch": token, "bellows": commands}
 
 
+def orders(token, session, commands):
+    return {"torch": token, "kindling_span": session, "bellows": commands}
+
+
 def elsewhere(node):
     return {"firekeeper": node} if node else {}
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -13,7 +13,7 @@
 from .jobs import Keeper
 from .membership import Member
 from .state import Ledger
-from .transport import Link, Server
+from .transport import Link, Pool, Server
 
 log = logging.getLogger("emberglade")
 
@@ -48,13 +48,13 @@
             reply(404, {"error": "no such path"})
 
 
-def assemble(settings, operators, state_link, watch_link, cloud_link, peer_links):
+def assemble(settings, operators, state_link, watch_link, cloud_link, peer_links, workers):
     """The actors of one node, not running yet."""
     ledger = Ledger(settings, state_link, watch_link)
     keeper = Keeper(settings, ledger)
     listeners = [keeper]
     member = Member(settings, ledger, listeners)
-    desk = Desk(settings, ledger, keeper, member, peer_links)
+    desk = Desk(settings, ledger, keeper, member, peer_links, workers)
     keeper.desk = desk
     steward = Steward(settings, operators, ledger, keeper, desk, cloud_link)
     door = Door(settings, ledger, keeper, desk)
@@ -68,7 +68,8 @@
     patience = min(settings.lease_s / 4, 3.0)
     node = assemble(
         settings, operators, Link(settings.state, 6, "state-link"), Link(settings.state, 1, "watch-link"),
-        Link(settings.cloud, 2, "cloud-link"), {peer.name: Link(peer.address, 1, "peer-" + peer.name, 64) for peer in settings.peers})
+        Link(settings.cloud, 2, "cloud-link"), {peer.name: Link(peer.address, 1, "peer-" + peer.name, 64) for peer in settings.peers},
+        Pool(4, "workers"))
     # A quarter of the descriptors is kept for links and for what the platform itself needs.
     front = Server(settings.front, node.door.route, patience + 0.5, settings.fd_limit // 2)
     internal = Server(settings.internal, node.peer_route, patience, settings.fd_limit // 8)
--- a/emberglade/state/ledger.py
+++ b/emberglade/state/ledger.py
@@ -26,9 +26,10 @@
         self.link, self.watch_link = link, watch_link
         self.copy = {}  # key without LIVE -> (data, stamp)
         self.revision = -1  # -1: not read yet
-        self.contact = float("-inf")  # when the last answered request was sent
+        self.contact = float("-inf")  # when the last sync that was answered was sent
         self.subscribers = []
         self.syncing = False
+        self.sync_sent = float("-inf")
         self.sync_now, self.sync_next = [], []
         self.queue = ([], [], [])
         self.flying = 0
@@ -139,10 +140,11 @@
         elif self.revision < 0 and len(self.sync_next) > 64:
             self.sync_next.pop(0)(None)
 
-    def start_sync(self):
-        if self.syncing or not (self.sync_next or self.sync_now):
+    def start_sync(self, idle=False):
+        if self.syncing or not (self.sync_next or self.sync_now or idle):
             return
         self.syncing = True
+        self.sync_sent = self.now()
         self.sync_now += self.sync_next
         self.sync_next = []
         self.send(REPORTS, 0, "GET", wire.follow_path(LIVE, self.revision, 0), None, self.then("synced"))
@@ -158,6 +160,10 @@
             return
         if news is not None and self.revision >= 0:
             self.apply(*news)
+            # Only this shows that the copy is in step; other answers may come while syncs fail.
+            self.contact = self.sync_sent
+            for actor in self.subscribers:
+                actor.tell("contact", self.contact)
         for reply in waiting:
             reply(self.revision if news is not None and self.revision >= 0 else None)
         if self.sync_next:
@@ -198,6 +204,8 @@
         self.pump()
 
     def on_tick(self):
+        if self.revision >= 0 and not self.syncing and self.now() - self.contact > 1.0 and self.now() - self.sync_sent > 1.0:
+            self.start_sync(idle=True)
         self.pump()
         self.after(0.05, "tick")
 
@@ -217,17 +225,13 @@
                 self.requests.take(now, 1)
                 self.writes.take(now, writes)
                 self.flying += 1
-                self.link.call(method, path, body, self.patience, self.then("answered", now, reply))
+                self.link.call(method, path, body, self.patience, self.then("answered", reply))
             if line and rank < SUBMISSIONS and now < self.pause_until:
                 return
 
-    def on_answered(self, sent, reply, status, body):
+    def on_answered(self, reply, status, body):
         self.flying -= 1
         if status == 429:
             self.pause_until = self.now() + 0.1
-        if status not in (NO_ANSWER, 503, 429) and sent > self.contact:
-            self.contact = sent
-            for actor in self.subscribers:
-                actor.tell("contact", sent)
         reply(status, body)
         self.pump()
--- a/emberglade/transport.py
+++ b/emberglade/transport.py
@@ -134,6 +134,40 @@
             reply(status, data)
 
 
+class Pool:
+    """A few threads that carry calls to many addresses over kept connections."""
+
+    CONNECTIONS = 32  # of each thread; the one used longest ago gives way
+
+    def __init__(self, threads, name):
+        self.jobs = queue.SimpleQueue()
+        self.threads = threads
+        for number in range(threads):
+            threading.Thread(target=self._run, name=f"{name}-{number}", daemon=True).start()
+
+    def call(self, address, method, path, body, timeout, reply):
+        if self.jobs.qsize() > 4 * self.threads:
+            reply(NO_ANSWER, None)
+            return
+        self.jobs.put((address, method, path, body, timeout, reply))
+
+    def _run(self):
+        connections = {}
+        while True:
+            address, method, path, body, timeout, reply = self.jobs.get()
+            connection = connections.pop(address, None) or Connection(parse_address(address))
+            connections[address] = connection
+            if len(connections) > self.CONNECTIONS:
+                connections.pop(next(iter(connections))).close()
+            try:
+                status, data = connection.request(method, path, body, timeout)
+            except (OSError, ValueError, IndexError) as error:
+                log.debug("%s %s at %s: %s", method, path, address, error)
+                connection.close()
+                status, data = NO_ANSWER, None
+            reply(status, data)
+
+
 REASONS = {200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
            409: "Conflict", 413: "Content Too Large", 421: "Misdirected Request",
            422: "Unprocessable Content", 429: "Too Many Requests", 503: "Service Unavailable",
--- a/tests/stand_ins/world.py
+++ b/tests/stand_ins/world.py
@@ -89,6 +89,16 @@
                               lambda status, data: reply(status, data) if process.alive else None)
 
 
+class SimPool:
+    """The same for many addresses."""
+
+    def __init__(self, process):
+        self.process = process
+
+    def call(self, address, method, path, body, timeout, reply):
+        SimLink(self.process, address.partition(":")[0]).call(method, path, body, timeout, reply)
+
+
 class SimSystem:
     """Runs the actors of one controller process on simulated time."""
 
