--- a/emberglade/config/operators.py
+++ b/emberglade/config/operators.py
@@ -17,7 +17,7 @@
     epsilon: float = 0.5
     cost_round_s: float = 5.0
     pool_premium: float = 6.0
-    hold_idle_s: float = 60.0
+    hold_idle_s: float = 40.0
     min_lookback_s: float = 30.0
     max_lookback_s: float = 600.0
     boot_guess_s: float = 40.0
