--- a/emberglade/fleet/steward.py
+++ b/emberglade/fleet/steward.py
@@ -376,7 +376,8 @@
                 if machine.name not in self.occupied:
                     ready.append(machine.name)
             elif mark == "ended":
-                if now - machine.seen > 4 * self.settings.lease_s:
+                # A new leader has heard of nobody yet; a machine behind a cut may well come back.
+                if now - max(machine.seen, self.since) > 4 * self.settings.lease_s:
                     ready.append(machine.name)
             elif machine.state == "failed":
                 # It has stopped: nothing runs there, and the cloud's 200 will prove it.
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -154,6 +154,9 @@
         sessions = {m.name: m.session for m in self.cluster.cloud.machines.values() if m.up}
         assert max(sessions.values(), default=1) <= int(most), sessions
 
+    def expect_listed(self, machine):
+        assert self.cluster.cloud.machines[machine].listed
+
     def expect_machines(self, least, most):
         count = sum(m.listed for m in self.cluster.cloud.machines.values())
         assert int(least) <= count <= int(most), count
