--- a/emberglade/agents/desk.py
+++ b/emberglade/agents/desk.py
@@ -6,10 +6,10 @@
 
 import logging
 
-from ..actors import Actor
 from ..jobs.record import KEEP, SAVE, Job, Part, shard_of, task_name
 from ..membership import shard_count
 from ..placement import Machine, read_types
+from ..state import Follower
 from . import wire
 
 log = logging.getLogger("emberglade.agents")
@@ -28,7 +28,7 @@
         self.notice_until = None
 
 
-class Desk(Actor):
+class Desk(Follower):
     def __init__(self, settings, ledger, keeper, member, peers, workers):
         self.workers = workers
         self.fresh = []  # bindings that came with the change at hand
@@ -42,7 +42,6 @@
         self.holders = {}
         self.types = {}
         self.tables = {}
-        self.incarnation = None
         self.revision = -1
         self.contact = float("-inf")
         self.told = {}  # peer -> its last statement
@@ -53,13 +52,10 @@
 
     def on_begin(self):
         self.born = self.now()
-        self.ledger.tell("subscribe", self)
+        super().on_begin()
         self.after(0.3, "ask_peers")
         self.after(1.0, "tables")
 
-    def on_identity(self, incarnation):
-        self.incarnation = incarnation
-
     def on_contact(self, when):
         self.contact = max(self.contact, when)
 
--- a/emberglade/fleet/steward.py
+++ b/emberglade/fleet/steward.py
@@ -10,10 +10,9 @@
 import random
 from dataclasses import dataclass
 
-from ..actors import Actor
 from ..placement import read_types, write_types
 from ..sizing import Sizer, family
-from ..state import LIVE
+from ..state import LIVE, Follower
 from ..state import wire as state_wire
 from ..state.ledger import DECISIONS
 from . import wire
@@ -37,11 +36,10 @@
     idle_since: float | None = None
 
 
-class Steward(Actor):
+class Steward(Follower):
     def __init__(self, settings, operators, ledger, keeper, desk, cloud):
         self.settings, self.operators = settings, operators
         self.ledger, self.keeper, self.desk, self.cloud = ledger, keeper, desk, cloud
-        self.incarnation = None
         self.lead = None
         self.leading = False
         self.types = {}
@@ -67,16 +65,10 @@
         self.ticks = 0
 
     def on_begin(self):
-        self.ledger.tell("subscribe", self)
+        super().on_begin()
         self.experts = family(self.operators.min_lookback_s, self.operators.max_lookback_s)
         self.after(0.5, "tick")
 
-    def on_identity(self, incarnation):
-        self.incarnation = incarnation
-
-    def on_contact(self, when):
-        pass
-
     # --- the committed copy
 
     def on_changed(self, events, revision, whole):
--- a/emberglade/frontdoor/door.py
+++ b/emberglade/frontdoor/door.py
@@ -8,10 +8,9 @@
 
 import orjson
 
-from ..actors import Actor
 from ..jobs.record import Job, job_key, over_key, part_size
 from ..placement import fits_some_type, read_types
-from ..state import LIVE, OVER
+from ..state import LIVE, OVER, Follower
 from ..state import wire as state_wire
 from ..state.ledger import DECISIONS, SUBMISSIONS
 from . import wire
@@ -22,7 +21,7 @@
 RETRY_S = 1
 
 
-class Door(Actor):
+class Door(Follower):
     def __init__(self, settings, ledger, keeper, desk):
         self.settings = settings
         self.ledger, self.keeper, self.desk = ledger, keeper, desk
@@ -33,12 +32,6 @@
         # More than a second's worth of the service's write budget can't be accepted in time.
         self.most_submissions = max(4, int(settings.state_write_rps / settings.size))
 
-    def on_begin(self):
-        self.ledger.tell("subscribe", self)
-
-    def on_contact(self, when):
-        pass
-
     def on_changed(self, events, revision, whole):
         for key, data, _ in events:
             if key == "catalog" and data is not None:
--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -8,9 +8,8 @@
 import math
 
 from .. import placement
-from ..actors import Actor
 from ..membership import shard_count
-from ..state import LIVE, OVER
+from ..state import LIVE, OVER, Follower
 from ..state import wire as state_wire
 from ..state.ledger import DECISIONS
 from ..transport import NO_ANSWER
@@ -32,12 +31,11 @@
 log = logging.getLogger("emberglade.jobs")
 
 
-class Keeper(Actor):
+class Keeper(Follower):
     def __init__(self, settings, ledger):
         self.settings, self.ledger = settings, ledger
         self.size = part_size(settings.value_bytes)
         self.shards = shard_count(settings)
-        self.incarnation = None
         self.jobs = {}
         self.loose_parts = {}  # parts seen before their job
         self.holders = {}  # shard -> (node, incarnation, stamp)
@@ -58,15 +56,9 @@
         self.asked = {}  # the same -> when its holder was asked to stop it
 
     def on_begin(self):
-        self.ledger.tell("subscribe", self)
+        super().on_begin()
         self.after(0.5, "tick")
 
-    def on_identity(self, incarnation):
-        self.incarnation = incarnation
-
-    def on_contact(self, when):
-        pass
-
     # --- the committed copy
 
     def on_changed(self, events, revision, whole):
--- a/emberglade/membership/member.py
+++ b/emberglade/membership/member.py
@@ -7,8 +7,7 @@
 
 import logging
 
-from ..actors import Actor
-from ..state import LIVE
+from ..state import LIVE, Follower
 from ..state import wire as state_wire
 from ..state.ledger import DECISIONS
 
@@ -21,12 +20,11 @@
     return SHARDS_PER_NODE * settings.size
 
 
-class Member(Actor):
+class Member(Follower):
     def __init__(self, settings, ledger, listeners):
         self.settings, self.ledger = settings, ledger
         self.listeners = listeners  # actors told `identity(incarnation)`
         self.lease = None
-        self.incarnation = None
         # A crashed node is taken over within a third of a worker's lease; it is back sooner.
         self.life_s = max(0.1, settings.lease_s / 3)
         self.nodes, self.shards, self.lead = {}, {}, None
@@ -38,7 +36,7 @@
         self.key_dirty = True
 
     def on_begin(self):
-        self.ledger.tell("subscribe", self)
+        super().on_begin()
         self.on_grant()
         self.after(self.life_s / 3, "touch")
         self.after(0.5, "tick")
@@ -97,9 +95,6 @@
 
     # --- what the copy says
 
-    def on_contact(self, when):
-        pass
-
     def on_changed(self, events, revision, whole):
         self.loaded = True
         if whole:
--- /dev/null
+++ b/emberglade/state/follower.py
@@ -0,0 +1,19 @@
+"""What actors have in common that follow the live keys."""
+
+from ..actors import Actor
+
+
+class Follower(Actor):
+    """Told `changed(events, revision, whole)` by the ledger; subclasses set `ledger`."""
+
+    incarnation = None
+
+    def on_begin(self):
+        self.ledger.tell("subscribe", self)
+
+    def on_identity(self, incarnation):
+        """The membership has this process's incarnation."""
+        self.incarnation = incarnation
+
+    def on_contact(self, when):
+        """A sync sent at `when` was answered."""
