--- a/emberglade/agents/desk.py
+++ b/emberglade/agents/desk.py
@@ -6,49 +6,71 @@
 
 import logging
 
-from ..jobs.record import KEEP, SAVE, Job, Part, shard_of, task_name
+import orjson
+
+from ..jobs.record import KEEP, SAVE, STOP, Part, Spec, shard_of, task_name
 from ..membership import shard_count
 from ..placement import Machine, read_types
-from ..state import Follower
+from ..state import LIVE, Follower
+from ..state import wire as state_wire
+from ..state.ledger import DECISIONS
 from . import wire
+from .sightings import Sighting, Sightings
 
 log = logging.getLogger("emberglade.agents")
 
-DRIFT = 1.001  # steady clocks of two machines, each off by up to 0.05 %
-MARGIN_S = 0.25  # timers fire late by a few milliseconds; scheduling of threads adds to that
+TABLE_S = 5.0  # the DESIGN page's interval of tables
 
 
 class Known:
     """A machine as last reported here."""
 
-    __slots__ = ("report", "heard", "answered", "notice_until")
+    __slots__ = ("report", "tasks", "heard", "answered", "quiet", "deaf", "probe")
+
+    def __init__(self, report, now):
+        self.report, self.tasks = report, None
+        self.heard = self.answered = now
+        self.quiet = False  # its last report led to nothing and waited for nothing
+        self.deaf = False  # our answers don't reach it, as far as can be seen
+        self.probe = None  # a token that it reports once it hears us again
+
+
+class Entry:
+    """What the desk has of a live job: only what decides over commands."""
 
-    def __init__(self, report, heard):
-        self.report, self.heard, self.answered = report, heard, heard
-        self.notice_until = None
+    __slots__ = ("spec", "withdrawn", "withdrawn_at", "parts")
+
+    def __init__(self, spec):
+        self.spec, self.withdrawn, self.withdrawn_at, self.parts = spec, False, 0, {}
 
 
 class Desk(Follower):
     def __init__(self, settings, ledger, keeper, member, peers, workers):
-        self.workers = workers
-        self.fresh = []  # bindings that came with the change at hand
         self.settings = settings
-        self.ledger, self.keeper, self.member, self.peers = ledger, keeper, member, peers
+        self.ledger, self.keeper, self.member, self.peers, self.workers = ledger, keeper, member, peers, workers
+        self.sightings = Sightings(settings)
         self.known = {}
-        self.jobs = {}  # job -> [spec, withdrawn, rev withdrawn was seen at, {part: {task: (attempt, machine, stop, rev, session)}}]
+        self.jobs = {}  # job -> Entry
         self.bound = {}  # machine -> {(job, task): (attempt, stop, revision at which the stop was seen, session)}
+        self.touched = set()  # machines whose bindings or mark changed since their last report here
+        self.fresh = []  # bindings that came with the change at hand
         self.loose = {}
-        self.marks = {}
+        self.marks = {}  # machine -> (mark, stamp, when it was seen here)
         self.holders = {}
         self.types = {}
-        self.tables = {}
+        self.nodes = set()
+        self.tables = {}  # node -> {key: (data, stamp)}
         self.revision = -1
         self.contact = float("-inf")
-        self.told = {}  # peer -> its last statement
         self.asked = {}
-        # After a cancellation was told, its tasks must be gone in cancel_s. A worker that is
-        # answered by a node which can't know of it lives on; this is how long a node may answer.
-        self.blind_s = max(settings.lease_s / 4, settings.cancel_s - settings.lease_s * 1.5)
+        self.outbox = {}  # node -> facts for it
+        self.outbox_due = False
+        self.undelivered = {}  # node -> facts that could not be told directly
+        self.wrote_facts = False
+        self.waiting = {}  # reports that wait for a sync: number -> (report, reply, since)
+        self.waited = 0
+        self.inventory_due = False
+        self.inventory = {}
 
     def on_begin(self):
         self.born = self.now()
@@ -56,8 +78,9 @@
         self.after(0.3, "ask_peers")
         self.after(1.0, "tables")
 
-    def on_contact(self, when):
+    def on_contact(self, when, revision):
         self.contact = max(self.contact, when)
+        self.sightings.synced(when, revision)
 
     # --- the committed copy
 
@@ -66,50 +89,70 @@
             alive = {key for key, data, _ in events if data is not None}
             for job_id in [j for j in self.jobs if "j/" + j not in alive]:
                 self.drop_job(job_id)
+            self.nodes = set()
+        tables = set()
         for key, data, stamp in events:
-            self.absorb(key, data, stamp)
+            self.absorb(key, data, stamp, tables)
         self.revision = max(self.revision, revision)
+        if tables or whole:
+            self.sightings.nodes(self.nodes, self.now())
+        for node in tables:
+            self.read_table(node)
         fresh, self.fresh = self.fresh, []
         if not whole:
             self.start_directly(fresh)
 
-    def absorb(self, key, data, stamp):
+    def absorb(self, key, data, stamp, tables):
         if key.startswith("j/"):
             job_id = key[2:]
             if data is None:
                 self.drop_job(job_id)
                 return
-            job = Job.decode(job_id, data, stamp)
             entry = self.jobs.get(job_id)
             if entry is None:
-                entry = self.jobs[job_id] = [job.spec, False, 0, {}]
+                entry = self.jobs[job_id] = Entry(Spec.decode(job_id, data["s"]))
                 for number, (part, part_stamp) in self.loose.pop(job_id, {}).items():
                     self.put_part(job_id, entry, number, part, part_stamp)
-            if job.withdrawn and not entry[1]:
-                entry[1], entry[2] = True, stamp
-            self.put_part(job_id, entry, 0, job.parts[0], stamp)
+            if data.get("w") and not entry.withdrawn:
+                entry.withdrawn, entry.withdrawn_at = True, stamp
+                for rows in entry.parts.values():
+                    self.touched.update(row[1] for row in rows.values())
+            self.put_part(job_id, entry, 0, data.get("p", {}), stamp)
         elif key.startswith("t/"):
             _, job_id, number = key.split("/")
-            part = Part.decode(data, stamp) if data is not None else Part()
             entry = self.jobs.get(job_id)
-            if entry is None:
-                if data is None:
-                    self.loose.get(job_id, {}).pop(int(number), None)
-                else:
-                    self.loose.setdefault(job_id, {})[int(number)] = (part, stamp)
+            if entry is not None:
+                self.put_part(job_id, entry, int(number), data or {}, stamp)
+            elif data is None:
+                self.loose.get(job_id, {}).pop(int(number), None)
+                if not self.loose.get(job_id, True):
+                    del self.loose[job_id]
             else:
-                self.put_part(job_id, entry, int(number), part, stamp)
+                self.loose.setdefault(job_id, {})[int(number)] = (data, stamp)
         elif key.startswith("m/"):
+            self.touched.add(key[2:])
             if data is None:
                 self.marks.pop(key[2:], None)
             else:
-                self.marks[key[2:]] = data.get("mark")
+                self.marks[key[2:]] = (data.get("mark"), stamp, self.now())
         elif key.startswith("s/"):
             if data is not None:
                 self.holders[int(key[2:])] = data.get("node")
         elif key.startswith("n/"):
-            if data is not None and data.get("table"):
-                self.tables[key[2:]] = data["table"]
+            node = key[2:]
+            tables.add(node)
+            if data is None:
+                self.nodes.discard(node)
+                self.tables.pop(node, None)
+            else:
+                self.nodes.add(node)
+                self.tables.setdefault(node, {})[key] = (data, stamp)
+        elif key.startswith("r/"):
+            if data is not None:
+                self.tables.setdefault(key.split("/")[1], {})[key] = (data, stamp)
+        elif key.startswith("f/"):
+            for fact in wire.read_facts(((data or {}).get("to") or {}).get(self.settings.node)):
+                self.keeper.tell(*fact)
         elif key == "catalog" and data is not None:
             self.types = read_types(data)
 
@@ -117,30 +160,33 @@
         entry = self.jobs.pop(job_id, None)
         self.loose.pop(job_id, None)
         if entry is not None:
-            for number in list(entry[3]):
-                self.put_part(job_id, entry, number, Part(), 0)
-
-    def put_part(self, job_id, entry, number, part, stamp):
-        old = entry[3].get(number, {})
-        new = {}
-        for task, bound in part.bound.items():
-            since = stamp
-            before = old.get(task)
-            if before is not None and before[0] == bound.attempt and before[2] and bound.stop:
-                since = before[3]
-            new[task] = (bound.attempt, bound.machine, bound.stop, since, bound.session)
-        for task, (_, machine, _, _, _) in old.items():
-            if task not in new or new[task][1] != machine:
-                on = self.bound.get(machine)
-                if on is not None:
-                    on.pop((job_id, task), None)
-                    if not on:
-                        del self.bound[machine]
+            for number in list(entry.parts):
+                self.put_part(job_id, entry, number, {}, 0)
+
+    def put_part(self, job_id, entry, number, data, stamp):
+        """Takes over one part; costs little for the tasks whose binding is the same as before."""
+        old, new = entry.parts.get(number, {}), Part.bound_rows(data)
+        for task, row in old.items():
+            if new.get(task) != row:
+                here = self.bound[row[1]]
+                before = here.pop((job_id, task))
+                if not here:
+                    del self.bound[row[1]]
+                self.touched.add(row[1])
+                if task in new and new[task][0] == row[0]:
+                    # The same attempt: a stop counts from when it was first seen.
+                    self.hold(job_id, task, new[task], before[2] if before[1] else stamp)
         for task, row in new.items():
-            if not row[2] and (task not in old or old[task][0] != row[0]):
-                self.fresh.append((job_id, task, row[0], row[1], row[4]))
-            self.bound.setdefault(row[1], {})[(job_id, task)] = (row[0], row[2], row[3], row[4])
-        entry[3][number] = new
+            before = old.get(task)
+            if before is None or before[0] != row[0]:
+                self.hold(job_id, task, row, stamp)
+                if len(row) < 4:
+                    self.fresh.append((job_id, task, *row))
+        entry.parts[number] = new
+
+    def hold(self, job_id, task, row, since):
+        self.bound.setdefault(row[1], {})[(job_id, task)] = (row[0], row[3] if len(row) > 3 else KEEP, since, row[2])
+        self.touched.add(row[1])
 
     # --- reports
 
@@ -155,49 +201,106 @@
         if node is not None:
             reply(421, wire.elsewhere(node))
             return
-        if self.revision < 0 or now - self.contact > self.blind_s:
-            # Not entitled any more: what this node tells could be older than a cancellation.
+        name = report.machine
+        mark = self.marks.get(name)
+        if self.revision < 0 or now - self.contact > self.settings.blind_s or (mark and self.settings.node not in self.nodes):
+            # Not entitled any more: what this node tells could be older than a cancellation, or
+            # the proof that this machine's leases are over counts on its silence.
             reply(503, {"error": "no contact with the state service"}, 1)
             return
-        known = self.known.get(report.machine)
-        if known is not None and known.report.age >= report.age:
+        sighting = self.sightings.view.get(name)
+        if (sighting is not None and sighting.age >= report.age) or (mark and mark[0] == "gone"):
+            # A copy that came late, perhaps of a machine that was returned: no sign of life. The
+            # lease that its answer could renew is one that the newer message renewed already.
             reply(200, wire.answer(report.token, []))
             return
+        known = self.known.get(name)
         fresh = known is None
         if fresh:
-            known = self.known[report.machine] = Known(report, now)
-        known.report, known.heard, known.answered = report, now, now
-        if report.notice_s is not None:
-            known.notice_until = now + report.notice_s
-        else:
-            known.notice_until = None
-        self.tell_holders(report)
+            known = self.known[name] = Known(report, now)
+        self.listen(known, report, sighting, now)
+        before, known.report = known.report, report
+        known.heard = known.answered = now
+        self.sightings.view[name] = self.sighting(known)
         if fresh:
-            log.info("%s (%s in %s, %s) reports here", report.machine, report.type, report.zone,
-                     "spot" if report.spot else "ordinary")
-            self.tell_inventory()
-            self.write_table()
-        if self.commands(report, False)[2]:
-            self.ledger.tell("sync", self.then("synced", report, reply))
+            log.info("%s (%s in %s, %s) reports here", name, report.type, report.zone, "spot" if report.spot else "ordinary")
+            self.soon_inventory()
+        if (known.quiet and known.tasks is not None and name not in self.touched and report.raw == before.raw
+                and report.session == before.session and report.notice_s is None and not known.deaf):
+            # Nothing is new: most reports end here, and most of the processor's time is reports.
+            reply(200, wire.answer(report.token, []))
+            return
+        try:
+            known.tasks = wire.read_tasks(report.raw)
+        except ValueError as error:
+            known.tasks = None
+            reply(400, {"error": str(error)})
+            return
+        if (before.notice_s is None) != (report.notice_s is None):
+            self.soon_inventory()
+        self.touched.discard(name)
+        told = self.tell_holders(report, known.tasks)
+        token, commands, more = self.commands(known, False)
+        known.quiet = not (told or commands or more or token > report.token or known.deaf) and report.notice_s is None
+        if more:
+            self.waited += 1
+            self.waiting[self.waited] = (known, report, reply, now)
+            self.ledger.tell("sync", self.then("synced", self.waited))
         else:
-            self.answer(report, False, reply)
-
-    def on_synced(self, report, reply, revision):
-        self.answer(report, revision is not None, reply)
-
-    def answer(self, report, synced, reply):
-        known = self.known.get(report.machine)
-        if known is not None:
-            known.answered = self.now()
-        token, commands, _ = self.commands(report, synced)
+            self.answer(known, report, False, reply)
+
+    def on_synced(self, number, revision):
+        waiting = self.waiting.pop(number, None)
+        if waiting is not None:
+            known, report, reply, _ = waiting
+            self.answer(known, report, revision is not None, reply)
+
+    def answer_late(self, now):
+        """A worker gives a report up after some seconds; one that the state service keeps waiting is
+        answered before, without what only a sync allows."""
+        for number, (known, report, reply, since) in list(self.waiting.items()):
+            if now - since > self.settings.report_s:
+                del self.waiting[number]
+                self.answer(known, report, False, reply)
+
+    def answer(self, known, report, synced, reply):
+        if known.report is not report:
+            # A newer message came in between; its own answer says what is to be done.
+            reply(200, wire.answer(report.token, []))
+            return
+        known.answered = self.now()
+        token, commands, _ = self.commands(known, synced)
         reply(200, wire.answer(token, commands))
 
-    def commands(self, report, synced):
+    def listen(self, known, report, sighting, now):
+        """Recognises a machine whose reports arrive while our answers don't reach it.
+
+        Its leases end although it was answered all the time. It gets no more work, and is offered a
+        token that it has not seen; once it reports that token, it hears us.
+        """
+        lease, report_s = self.settings.lease_s, self.settings.report_s
+        if sighting is not None and not known.deaf:
+            early = report.session > sighting.row.session and now - sighting.heard < lease - 2 * report_s
+            if early or sighting.row.deaf:
+                known.deaf, known.probe = True, None
+                if early:
+                    log.info("%s lost its lease although it was answered; it gets no work until it hears us", report.machine)
+                self.soon_inventory()
+        if known.deaf:
+            if known.probe is not None and report.token >= known.probe:
+                known.deaf, known.probe = False, None
+                log.info("%s hears us again", report.machine)
+                self.soon_inventory()
+            elif known.probe is None and self.revision > report.token:
+                known.probe = self.revision
+
+    def commands(self, known, synced):
         """(token, commands, whether a sync would allow more)."""
-        token, commands, more = report.token, [], False
+        report, tasks = known.report, known.tasks
+        token, commands, more = max(report.token, known.probe or 0), [], False
         bound = self.bound.get(report.machine, {})
         marked = report.machine in self.marks
-        for key, seen in report.tasks.items():
+        for key, seen in tasks.items():
             name = task_name(*key)
             want = bound.get(key)
             if want is not None and want[0] == seen.attempt:
@@ -206,8 +309,7 @@
                 stop, since = self.stop_of(key, want)
                 if stop != KEEP:
                     token = max(token, since)
-                    entry = self.jobs[key[0]]
-                    grace = entry[0].save_s * 1.5 + 1 if stop == SAVE else 0
+                    grace = self.jobs[key[0]].spec.save_s * 1.5 + 1 if stop == SAVE else 0
                     if seen.state != "saving" or stop != SAVE:
                         commands.append(wire.halt(name, seen.attempt, grace))
             elif not synced:
@@ -221,7 +323,7 @@
                 log.info("%s attempt %d on %s is not wanted there; stopping it", name, seen.attempt, report.machine)
                 commands.append(wire.halt(name, seen.attempt, 0))
         for key, want in bound.items():
-            seen = report.tasks.get(key)
+            seen = tasks.get(key)
             if (seen is not None and seen.attempt == want[0]) or report.session != want[3]:
                 continue
             stop, since = self.stop_of(key, want)
@@ -230,7 +332,7 @@
                 token = max(token, since)
             elif seen is not None and seen.state != "exited":
                 continue  # another attempt is still there; it is being stopped first
-            elif marked or (report.notice_s is not None):
+            elif marked or known.deaf or report.notice_s is not None:
                 continue
             elif not synced:
                 more = True
@@ -240,8 +342,8 @@
 
     def stop_of(self, key, want):
         entry = self.jobs[key[0]]
-        if entry[1]:
-            return 1, (min(want[2], entry[2]) if want[1] else entry[2])
+        if entry.withdrawn:
+            return STOP, (min(want[2], entry.withdrawn_at) if want[1] else entry.withdrawn_at)
         return want[1], want[2]
 
     # --- direct commands
@@ -256,15 +358,17 @@
         machines = {}
         for job_id, task, attempt, machine, session in fresh:
             entry = self.jobs.get(job_id)
-            if entry is not None and not entry[1] and self.holder_of(entry[0]) == self.settings.node:
+            if entry is not None and not entry.withdrawn and self.holder_of(entry.spec) == self.settings.node:
                 machines.setdefault((machine, session), []).append(wire.start(task_name(job_id, task), attempt))
-        rows = self.machines() if machines else {}
+        now = self.now()
         for (machine, session), commands in machines.items():
-            row, heard = rows.get(machine, (None, 0))
-            if row is None or not row[7] or row[4] != session or row[6] or machine in self.marks \
-                    or self.now() - heard > 2 * self.settings.report_s:
+            sighting = self.sightings.view.get(machine)
+            if sighting is None or machine in self.marks:
                 continue
-            self.workers.call(row[7], "POST", "/commands", wire.orders(self.revision, session, commands),
+            row = sighting.row
+            if not row.addr or row.session != session or row.notice or row.deaf or now - sighting.heard > self.settings.lease_s / 2:
+                continue
+            self.workers.call(row.addr, "POST", "/commands", wire.orders(self.revision, session, commands),
                               self.settings.report_s, self.then("ordered", machine))
 
     def on_ordered(self, machine, status, body):
@@ -273,52 +377,92 @@
             return
         try:
             report = wire.read_report(body)
+            tasks = wire.read_tasks(report.raw)
         except ValueError as error:
             log.info("%s answered a command with an odd report: %s", machine, error)
             return
         known = self.known.get(report.machine)
         # Direct commands renew no lease, and where the worker reports is not this node's to say.
         if known is not None and known.report.age < report.age:
-            known.report = report
-            known.heard = self.now()
-        self.tell_holders(report)
+            known.report, known.tasks, known.heard, known.quiet = report, tasks, self.now(), False
+            self.sightings.view[report.machine] = self.sighting(known)
+        self.tell_holders(report, tasks)
 
     # --- telling the holders of jobs
 
-    def tell_holders(self, report):
-        bound = self.bound.get(report.machine, {})
-        for key, want in bound.items():
-            seen = report.tasks.get(key)
+    def tell_holders(self, report, tasks):
+        """Passes on what the report proves; True if anything was."""
+        told = False
+        for key, want in self.bound.get(report.machine, {}).items():
+            seen = tasks.get(key)
+            stop, since = self.stop_of(key, want)
             if seen is not None and seen.attempt == want[0]:
                 if seen.state == "exited":
-                    self.pass_on(key[0], "exited", key[1], want[0], report.machine, seen.why, seen.saved)
-                elif report.notice_s is not None and want[1] == KEEP and not self.jobs[key[0]][1]:
-                    self.pass_on(key[0], "stop", key[1], want[0], SAVE, "its machine is taken back")
-                continue
-            stop, since = self.stop_of(key, want)
-            if report.session > want[3] or (report.session == want[3] and stop != KEEP and report.token >= since):
+                    fact = ("exited", key[0], key[1], want[0], report.machine, seen.why, seen.saved)
+                elif report.notice_s is not None and stop == KEEP:
+                    fact = ("stop", key[0], key[1], want[0], SAVE, "its machine is taken back")
+                else:
+                    continue
+            elif report.session > want[3] or (report.session == want[3] and stop != KEEP and report.token >= since):
                 # Its session is over, or its start can't be accepted any more: it will never run.
-                self.pass_on(key[0], "gone", key[1], want[0], report.machine)
+                fact = ("gone", key[0], key[1], want[0], report.machine)
             elif stop == KEEP and report.notice_s is not None:
-                self.pass_on(key[0], "stop", key[1], want[0], SAVE, "its machine is taken back")
+                fact = ("stop", key[0], key[1], want[0], SAVE, "its machine is taken back")
+            else:
+                continue
+            told = True
+            self.pass_on(*fact)
+        return told
 
     def on_ask_stop(self, job_id, task, attempt, how, reason):
         """The keeper wants a task stopped that another node holds."""
-        self.pass_on(job_id, "stop", task, attempt, how, reason)
+        self.pass_on("stop", job_id, task, attempt, how, reason)
 
     def holder_of(self, spec):
         return self.holders.get(shard_of(spec, self.settings.teams, shard_count(self.settings)))
 
-    def pass_on(self, job_id, message, *args):
+    def pass_on(self, message, job_id, *args):
         entry = self.jobs.get(job_id)
         if entry is None:
             return
-        node = self.holder_of(entry[0])
+        node = self.holder_of(entry.spec)
         if node == self.settings.node:
             self.keeper.tell(message, job_id, *args)
         elif node in self.peers:
-            self.peers[node].call("POST", "/peer/task", [message, job_id, *args], self.settings.report_s,
-                                  lambda status, body: None)
+            self.outbox.setdefault(node, {})[(message, job_id, args[0])] = [message, job_id, *args]
+            if not self.outbox_due:
+                self.outbox_due = True
+                self.after(self.settings.report_s / 20, "send_facts")
+
+    def on_send_facts(self):
+        self.outbox_due = False
+        outbox, self.outbox = self.outbox, {}
+        for node, facts in outbox.items():
+            rows = list(facts.values())
+            for first in range(0, len(rows), 200):
+                some = rows[first:first + 200]
+                self.peers[node].call("POST", "/peer/facts", some, self.settings.report_s, self.then("facts_sent", node, some))
+
+    def on_facts_sent(self, node, facts, status, body):
+        if status == 200:
+            self.undelivered.pop(node, None)
+            return
+        # Reports repeat what was not recorded; so only the latest failures are worth keeping.
+        self.undelivered.setdefault(node, {}).update(((f[0], f[1], f[2]), f) for f in facts)
+
+    def write_facts(self):
+        """What peers could not be told directly goes through the state service."""
+        undelivered, self.undelivered = self.undelivered, {}
+        room, rows = self.settings.value_bytes - 256, {}
+        for node, facts in undelivered.items():
+            for fact in facts.values():
+                room -= len(orjson.dumps(fact)) + 1
+                if room > 0:
+                    rows.setdefault(node, []).append(fact)
+        if rows or self.wrote_facts:
+            self.wrote_facts = bool(rows)
+            self.ledger.tell("commit", DECISIONS, [], [state_wire.put(f"{LIVE}f/{self.settings.node}", {"to": rows})],
+                             lambda status, revision, failed: None)
 
     # --- what the nodes tell each other about machines
 
@@ -330,110 +474,132 @@
                 continue
             self.asked[name] = now
             link.call("POST", "/peer/heard", {}, 2 * self.settings.report_s, self.then("peer_heard", name, now))
+        self.answer_late(now)
+        self.write_facts()
         self.tell_inventory()
 
+    def sighting(self, known):
+        return Sighting(self.row(known, known.heard), max(known.heard, known.answered))
+
+    @staticmethod
+    def row(known, now):
+        report = known.report
+        return wire.Row(round(now - max(known.heard, known.answered), 3), report.type, report.zone, report.spot, report.session,
+                        report.tally, report.notice_s is not None, known.deaf, report.addr)
+
+    def rows(self, now, within):
+        return {name: self.row(k, now) for name, k in self.known.items() if now - k.heard < within}
+
     def on_heard(self, reply):
         """A peer asks what is known here; answered from a copy synced after the question."""
         self.ledger.tell("sync", self.then("heard_synced", reply))
 
     def on_heard_synced(self, reply, revision):
         now = self.now()
-        rows = {name: [round(now - max(k.heard, k.answered), 3), k.report.type, k.report.zone, k.report.spot, k.report.session,
-                       k.report.tally, k.report.notice_s is not None, k.report.addr]
-                for name, k in self.known.items() if now - k.heard < 10 * self.settings.lease_s}
-        reply(200, {"up": now - self.born, "contact": min(1e6, now - self.contact), "rev": revision, "known": rows})
+        reply(200, wire.statement(now - self.born, min(1e6, now - self.contact), revision, self.rows(now, 10 * self.settings.lease_s)))
 
     def on_peer_heard(self, name, asked, status, body):
         self.asked.pop(name, None)
-        if status != 200 or not isinstance(body, dict) or "known" not in body:
-            return
-        self.told[name] = (asked, self.now(), body)
+        if status == 200 and not self.sightings.hear(name, asked, self.now(), body):
+            log.info("%s made an odd statement; it is asked again", name)
 
     def better_node(self, now):
         """A node that can follow the state service while this one can't."""
-        if now - self.contact < self.settings.lease_s / 4:
+        quarter = self.settings.lease_s / 4
+        if now - self.contact < quarter:
             return None
-        for name, (_, got, body) in self.told.items():
-            if now - got < 2 * self.settings.report_s and body["contact"] + now - got < self.settings.lease_s / 4:
+        for name, said in self.sightings.told.items():
+            if now - said.got < 2 * self.settings.report_s and said.contact_s + now - said.got < quarter:
                 return name
         return None
 
     def on_ready(self, reply):
         reply(self.revision >= 0 and self.better_node(self.now()) is None)
 
-    def machines(self):
-        """{machine: (row, last heard at the latest, by our clock)}, from here, peers and tables."""
-        now = self.now()
-        found = {}
-
-        def see(name, row, heard):
-            old = found.get(name)
-            if old is None or (row[4], row[5]) > (old[0][4], old[0][5]):
-                found[name] = (row, max(heard, old[1]) if old else heard)
-            elif heard > old[1]:
-                found[name] = (old[0], heard)
-        for node, table in self.tables.items():
-            if node not in self.told and node != self.settings.node:
-                for name, row in table.get("m", {}).items():
-                    # As of when the table was written; how long ago is not told, so it counts as old.
-                    see(name, row, now - self.settings.lease_s / 2)
-        for _, got, body in self.told.values():
-            for name, row in body["known"].items():
-                see(name, row, got - row[0])
-        for name, k in self.known.items():
-            see(name, [0, k.report.type, k.report.zone, k.report.spot, k.report.session, k.report.tally,
-                       k.report.notice_s is not None, k.report.addr], max(k.heard, k.answered))
-        return found
+    def soon_inventory(self):
+        if not self.inventory_due:
+            self.inventory_due = True
+            self.after(self.settings.report_s / 8, "inventory")
+
+    def on_inventory(self):
+        self.inventory_due = False
+        self.tell_inventory()
 
     def tell_inventory(self):
         now = self.now()
         for name in [n for n, k in self.known.items() if now - k.heard > 10 * self.settings.lease_s]:
             del self.known[name]
+        self.sightings.forget_old(now)
         fresh = 3 * self.settings.report_s + 1
-        inventory = {name: Machine(name, self.types[row[1]], row[2], row[3], row[4], now - heard < fresh and not row[6])
-                     for name, (row, heard) in self.machines().items() if row[1] in self.types}
+        if self.sightings.missing_peers(now):
+            # Their tables come less often than their answers would.
+            fresh += TABLE_S
+        inventory = {}
+        for name, sighting in self.sightings.view.items():
+            row = sighting.row
+            if row.type in self.types:
+                usable = now - sighting.heard < fresh and not row.notice and not row.deaf
+                old = self.inventory.get(name)
+                if old is None or (old.session, old.open) != (row.session, usable) or old.type is not self.types[row.type]:
+                    old = Machine(name, self.types[row.type], row.zone, row.spot, row.session, usable)
+                inventory[name] = old
+        self.inventory = inventory
         self.keeper.tell("inventory", inventory)
 
     def on_silence(self, reply):
-        """`reply({machine: (heard_by, silent_since, proven, session)}, all_stated)` for the leader.
-
-        A machine's tasks are proven dead when every node has stated, from a copy synced after
-        its mark, that it has neither heard nor answered it for longer than a lease.
-        """
+        """`reply({machine: (heard, proven over, deaf)})` for the leader."""
         now = self.now()
-        limit = self.settings.lease_s * DRIFT + MARGIN_S
-        latest = {name: heard for name, (row, heard) in self.machines().items()}
-        stated = [(asked, got, body) for asked, got, body in self.told.values()
-                  if body["rev"] is not None and now - asked < 4 * self.settings.report_s]
-        everyone = len(stated) == len(self.settings.names) - 1
-        names = set(latest) | set(self.bound) | set(self.marks)
         result = {}
-        for name in names:
-            # The latest moment at which any node may have heard it: a node that does not know
-            # it may have answered it before it was restarted.
-            heard = []
-            known = self.known.get(name)
-            heard.append(max(known.heard, known.answered) if known else self.born)
-            for _asked, got, body in stated:
-                row = body["known"].get(name)
-                heard.append(got - min(body["up"], row[0]) if row else got - body["up"])
-            last = max(heard)
-            earliest = min([now, *(asked for asked, _, _ in stated)])
-            oldest_rev = min([self.revision, *(body["rev"] for _, _, body in stated)])
-            result[name] = (latest.get(name, self.born), last, everyone and last + limit < earliest, oldest_rev)
+        # Tables are older than what a peer would answer; that is not the machines' silence.
+        slack = TABLE_S if self.sightings.missing_peers(now) else 0.0
+        for name in set(self.sightings.view) | set(self.bound) | set(self.marks):
+            sighting, known, mark = self.sightings.view.get(name), self.known.get(name), self.marks.get(name)
+            own = max(known.heard, known.answered) if known else self.born
+            heard = min(now, slack + (sighting.heard if sighting is not None else self.born))
+            proven = mark is not None and self.sightings.proven_over(name, own, mark[1], mark[2], now)
+            result[name] = (heard, proven, sighting is not None and sighting.row.deaf)
         reply(result)
 
-    def on_tables(self):
-        self.after(5.0, "tables")
-        self.write_table()
+    # --- tables in the state service
 
-    def write_table(self):
-        """Counts and free room, for whoever has not been told directly."""
+    def on_tables(self):
+        self.after(TABLE_S, "tables")
         self.keeper.tell("demand", self.then("table_demand"))
 
     def on_table_demand(self, demand):
+        """Counts and machines, in as many values as they need; they share one transaction."""
         now = self.now()
-        rows = {name: [0, k.report.type, k.report.zone, k.report.spot, k.report.session, k.report.tally,
-                       k.report.notice_s is not None, k.report.addr]
-                for name, k in self.known.items() if now - k.heard < self.settings.lease_s}
-        self.member.tell("table", {"d": [[*pool, round(count, 4)] for pool, count in demand.items()], "m": rows})
+        types, zones = sorted(self.types), self.settings.zones
+        places = [{}]
+        room = self.settings.value_bytes - 1024
+        for name, row in self.rows(now, self.settings.lease_s).items():
+            short = [row.age_s, types.index(row.type) if row.type in types else row.type,
+                     zones.index(row.zone) if row.zone in zones else row.zone, int(row.spot), row.session, row.tally,
+                     int(row.notice), int(row.deaf), row.addr]
+            room -= len(orjson.dumps(short)) + len(name) + 4
+            if room < 0:
+                places.append({})
+                room = self.settings.value_bytes - 1024
+            places[-1][name] = short
+        first = {"d": [[*pool, round(count, 4)] for pool, count in demand.items()], "wall": self.system.wall(),
+                 "up": now - self.born, "contact": min(1e6, now - self.contact), "rev": self.revision, "types": types, "m": places[0]}
+        self.member.tell("table", first, places[1:])
+
+    def read_table(self, node):
+        parts = self.tables.get(node, {})
+        first, stamp = parts.get("n/" + node, (None, 0))
+        if node == self.settings.node or first is None or not first.get("table"):
+            return
+        table = first["table"]
+        try:
+            types, zones = table["types"], self.settings.zones
+            rows = {}
+            for data, part_stamp in [(table, stamp), *(row for key, row in parts.items() if key.startswith("r/"))]:
+                if part_stamp == stamp:
+                    for name, (age_s, kind, zone, *rest) in data["m"].items():
+                        rows[name] = [age_s, types[kind] if isinstance(kind, int) else kind,
+                                      zones[zone] if isinstance(zone, int) else zone, *rest]
+            body = {"up": table["up"], "contact": table["contact"], "rev": table["rev"], "known": rows}
+            self.sightings.read_table(node, self.now(), self.system.wall() - table["wall"], body)
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            log.info("the table of %s is odd (%s); the next one is awaited", node, error)
--- /dev/null
+++ b/emberglade/agents/sightings.py
@@ -0,0 +1,140 @@
+"""Who heard which machine, when, and what that proves. Owned by the desk; no messages of its own.
+
+Three sources tell of a machine: its reports here, what peers state when asked, and the tables that
+every node writes to the state service. The newest (session, tally) wins; whatever is not newer
+than that is a copy that came late, and no sign of life.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from ..state import DRIFT
+from . import wire
+
+MARGIN_S = 0.25  # timers fire late by a few milliseconds; scheduling of threads adds to that
+
+
+@dataclass(slots=True)
+class Sighting:
+    """A machine as the newest message that any node told of shows it."""
+
+    row: wire.Row
+    heard: float  # by our clock
+
+    @property
+    def age(self):
+        return self.row.session, self.row.tally
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """What a node said of all machines. It was made after `asked` and before `got`, by our clock."""
+
+    asked: float
+    got: float
+    up_s: float
+    contact_s: float
+    revision: int | None
+    known: dict
+
+    def last_heard(self, machine):
+        """The latest moment at which that node may have heard or answered the machine.
+
+        A node that does not know it may have answered it before it was restarted.
+        """
+        row = self.known.get(machine)
+        return self.got - (self.up_s if row is None else min(self.up_s, row.age_s))
+
+
+class Sightings:
+    def __init__(self, settings):
+        self.settings = settings
+        self.view = {}  # machine -> Sighting
+        self.told = {}  # peer -> Statement, asked for directly
+        self.written = {}  # peer -> Statement, out of its table
+        self.moments = deque(maxlen=400)  # (a sync was sent, the revision it brought)
+        self.absent = {}  # peer -> since when its key is missing
+        self.contact = float("-inf")
+
+    def see(self, machine, row, heard):
+        """Notes what a source tells; True if it is newer than all that was known."""
+        old = self.view.get(machine)
+        age = row.session, row.tally
+        if old is None or age > old.age:
+            self.view[machine] = Sighting(row, heard)
+            return True
+        if age == old.age and heard > old.heard:
+            old.heard = heard
+        return False
+
+    def hear(self, peer, asked, got, body):
+        """A peer's answer; False if it is odd."""
+        found = wire.read_statement(body)
+        if found is None:
+            return False
+        self.told[peer] = statement = Statement(asked, got, *found)
+        for machine, row in statement.known.items():
+            self.see(machine, row, got - row.age_s)
+        return True
+
+    def read_table(self, peer, got, age_s, body):
+        """A peer's table, about `age_s` old by the time of day."""
+        found = wire.read_statement(body)
+        if found is None or found[2] is None:
+            return
+        statement = self.written[peer] = Statement(self.after_revision(found[2]), got, *found)
+        for machine, row in statement.known.items():
+            self.see(machine, row, got - row.age_s - max(0.0, age_s))
+
+    def synced(self, sent, revision):
+        self.contact = max(self.contact, sent)
+        if not self.moments or revision > self.moments[-1][1]:
+            self.moments.append((sent, revision))
+
+    def after_revision(self, revision):
+        """A moment before which nobody can have known this revision.
+
+        A sync sent at that moment still brought an older one.
+        """
+        return max((sent for sent, seen in self.moments if seen < revision), default=float("-inf"))
+
+    def nodes(self, present, now):
+        """Which peers' keys are there, as of the copy."""
+        for name in self.settings.names:
+            if name in present or name == self.settings.node:
+                self.absent.pop(name, None)
+            else:
+                self.absent.setdefault(name, now)
+
+    def missing_peers(self, now):
+        """Whether a peer has not answered lately, so that only its tables tell of its machines."""
+        return any(now - self.told[p.name].asked > 4 * self.settings.report_s if p.name in self.told else True
+                   for p in self.settings.peers)
+
+    def forget_old(self, now):
+        oldest = now - 10 * self.settings.lease_s
+        for name in [name for name, s in self.view.items() if s.heard < oldest]:
+            del self.view[name]
+
+    def proven_over(self, machine, own_heard, mark_stamp, mark_seen, now):
+        """Whether every lease that a node may have renewed for this machine has run out.
+
+        Each node states, from a copy that shows the mark, when it last heard or answered the
+        machine. For a node that can't be asked its own key speaks: without it, and with the mark in
+        its copy, it does not answer this machine, and with an older copy it answers nobody for
+        longer than `blind_s` (docs/safety.md, 7).
+        """
+        limit = self.settings.lease_s * DRIFT + MARGIN_S
+        last, earliest = own_heard, now
+        for peer in self.settings.peers:
+            made = [s for s in (self.told.get(peer.name), self.written.get(peer.name))
+                    if s is not None and s.revision is not None and s.revision >= mark_stamp]
+            gone = self.absent.get(peer.name)
+            if gone is not None and self.contact > max(gone, mark_seen) + self.settings.blind_s * DRIFT + limit:
+                continue
+            if not made:
+                return False
+            newest = max(made, key=lambda s: s.asked)
+            last = max(last, newest.last_heard(machine))
+            earliest = min(earliest, newest.asked)
+        return last + limit < earliest
--- a/emberglade/agents/wire.py
+++ b/emberglade/agents/wire.py
@@ -1,12 +1,10 @@
-"""What workers say and are told, field names included."""
+"""What workers say and are told, and what nodes tell each other of them; field names included."""
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
-GLOWS = ("fetching", "running", "saving", "gathering", "exited")
 
-
-@dataclass(frozen=True)
-class Seen:
+class Seen(NamedTuple):
     """One task on a machine, as its worker reports it."""
 
     attempt: int
@@ -15,7 +13,7 @@
     saved: bool
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Report:
     machine: str
     addr: str
@@ -26,7 +24,7 @@
     tally: int
     token: int
     notice_s: float | None
-    tasks: dict  # (job id, task) -> Seen
+    raw: list  # the tasks as they were sent
 
     @property
     def age(self):
@@ -34,7 +32,7 @@
 
 
 def _count(value):
-    if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value < 2 ** 64:
+    if type(value) is not int or not 0 <= value < 2 ** 64:
         raise ValueError(f"{value!r} is not a count")
     return value
 
@@ -46,25 +44,36 @@
 
 
 def read_report(data):
-    """A Report, or ValueError with what is wrong."""
+    """A Report whose tasks are not read yet, or ValueError with what is wrong."""
     if not isinstance(data, dict):
         raise ValueError("the report is not an object")
     try:
-        tasks = {}
-        for row in data.get("embers") or []:
-            job_id, _, number = _text(row["ember"]).rpartition("/")
-            tasks[(job_id, int(number))] = Seen(_count(row["strike"]), _text(row["glow"]), row.get("ashcause"),
-                                                bool(row.get("stored")))
         notice = data.get("reclaim_s")
         if notice is not None and (isinstance(notice, bool) or not isinstance(notice, int | float)):
             raise ValueError(f"reclaim_s {notice!r} is not a number")
+        raw = data.get("embers") or []
+        if not isinstance(raw, list):
+            raise ValueError("embers is not a list")
         return Report(_text(data["hearth"]), _text(data["addr"]), _text(data["hearth_kind"]), _text(data["glade"]),
                       bool(data.get("driftwood")), _count(data["kindling_span"]), _count(data["tally"]),
-                      _count(data.get("torch", 0)), notice, tasks)
+                      _count(data.get("torch") or 0), notice, raw)
     except KeyError as error:
         raise ValueError(f"the report lacks {error.args[0]}") from None
+
+
+def read_tasks(raw):
+    """{(job id, task): Seen}, or ValueError with what is wrong."""
+    tasks = {}
+    try:
+        for row in raw:
+            job_id, _, number = _text(row["ember"]).rpartition("/")
+            tasks[(job_id, int(number))] = Seen(_count(row["strike"]), _text(row["glow"]), row.get("ashcause"),
+                                                bool(row.get("stored")))
+    except KeyError as error:
+        raise ValueError(f"a task of the report lacks {error.args[0]}") from None
     except (TypeError, AttributeError) as error:
-        raise ValueError(f"the report is malformed: {error}") from None
+        raise ValueError(f"a task of the report is malformed: {error}") from None
+    return tasks
 
 
 def start(name, attempt):
@@ -89,3 +98,42 @@
 
 def elsewhere(node):
     return {"firekeeper": node} if node else {}
+
+
+# --- between nodes: facts about tasks, and what one node knows of the machines it hears
+
+FACTS = ("exited", "gone", "stop")
+
+
+def read_facts(data):
+    """[(message, job id, task, attempt, ...)]; odd ones are left out."""
+    return [fact for fact in data if isinstance(fact, list) and len(fact) > 3 and fact[0] in FACTS] if isinstance(data, list) else []
+
+
+class Row(NamedTuple):
+    """One machine in a node's statement; `age_s` as of when the statement was made."""
+
+    age_s: float
+    type: str
+    zone: str
+    spot: bool
+    session: int
+    tally: int
+    notice: bool
+    deaf: bool
+    addr: str
+
+
+def statement(up_s, contact_s, revision, rows):
+    return {"up": up_s, "contact": contact_s, "rev": revision, "known": {name: list(row) for name, row in rows.items()}}
+
+
+def read_statement(data):
+    """(up_s, contact_s, revision or None, {machine: Row}), or None when it is odd."""
+    try:
+        up_s, contact_s, revision = float(data["up"]), float(data["contact"]), data["rev"]
+        if revision is not None and type(revision) is not int:
+            return None
+        return up_s, contact_s, revision, {name: Row(*row) for name, row in data["known"].items()}
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return None
--- a/emberglade/config/platform.py
+++ b/emberglade/config/platform.py
@@ -67,6 +67,15 @@
     fd_limit: int
     names: tuple = field(default=())
 
+    @property
+    def blind_s(self):
+        """How long a node without the state service may answer workers.
+
+        After a cancellation was told, its tasks must be gone in `cancel_s`. A worker that is
+        answered by a node which can't know of it lives on, and then for a lease.
+        """
+        return max(self.lease_s / 4, self.cancel_s - self.lease_s * 1.5)
+
 
 class _Table:
     """One table of the file; `take` reports the full name of a wrong field."""
--- a/emberglade/fleet/steward.py
+++ b/emberglade/fleet/steward.py
@@ -34,6 +34,7 @@
     missing: int = 0
     seen: float = 0.0  # last heard by any node, by our clock; 0: never
     idle_since: float | None = None
+    deaf_since: float | None = None  # its reports arrive, answers don't reach it
 
 
 class Steward(Follower):
@@ -211,25 +212,27 @@
             return
         now = self.now()
         lost, ended, back = [], [], []
-        for name, (heard, last, proven, revision) in silence.items():
-            mark, stamp = self.marks.get(name, (None, 0))
+        for name, (heard, proven, deaf) in silence.items():
+            mark = self.marks.get(name, (None, 0))[0]
             machine = self.machines.get(name)
             if machine is not None and heard > machine.seen and now - heard < self.settings.lease_s:
                 machine.seen = heard
                 machine.state = "running"
-            quiet = now - last
-            if mark is None and quiet > self.settings.lease_s * 0.6 and (name in self.occupied or machine is None):
+            if machine is not None:
+                machine.deaf_since = (machine.deaf_since or now) if deaf else None
+            quiet = now - heard
+            if mark is None and ((quiet > self.settings.lease_s * 0.6 and name in self.occupied) or deaf):
                 lost.append(name)
-            elif mark in ("lost", "drain") and proven and revision >= stamp and name in self.occupied:
+            elif mark in ("lost", "drain") and proven and name in self.occupied:
                 ended.append(name)
-            elif mark in ("lost", "ended") and quiet < self.settings.report_s * 2:
+            elif mark in ("lost", "ended") and quiet < self.settings.report_s * 2 and not deaf:
                 if mark == "lost" or name not in self.occupied:
                     back.append(name)
-            elif mark == "ended" and machine is None and name not in self.occupied and quiet > 6 * self.settings.lease_s:
+            elif mark in ("lost", "ended") and machine is None and name not in self.occupied and quiet > 6 * self.settings.lease_s:
                 back.append(name)
         if lost:
-            log.info("no node has heard of %s for a while; nothing more is placed there", lost)
-            self.mark([n for n in lost if n in self.occupied], "lost")
+            log.info("no node is in touch with %s; nothing more is placed there", lost)
+            self.mark(lost, "lost")
         if ended:
             log.info("the leases of %s have run out; their tasks move", ended)
             self.mark(ended, "ended")
@@ -369,8 +372,10 @@
                     ready.append(machine.name)
             elif mark == "ended":
                 # A new leader has heard of nobody yet; a machine behind a cut may well come back.
-                if now - max(machine.seen, self.since) > 4 * self.settings.lease_s:
+                if now - max(machine.seen, self.since) > 4 * self.settings.lease_s or self.long_deaf(machine, now):
                     ready.append(machine.name)
+            elif mark == "lost" and self.long_deaf(machine, now):
+                drain.append(machine.name)
             elif machine.state == "failed":
                 # It has stopped: nothing runs there, and the cloud's 200 will prove it.
                 ready.append(machine.name)
@@ -386,6 +391,10 @@
             log.info("giving %s back to the cloud", ready)
             self.cloud.call("POST", "/hosts/return", wire.give_back(ready), 4.0, self.then("given_back", ready))
 
+    def long_deaf(self, machine, now):
+        """Deaf for so long that another machine is to take its place for good."""
+        return machine.deaf_since is not None and now - machine.deaf_since > 4 * self.settings.lease_s
+
     def on_given_back(self, names, status, body):
         self.returning.difference_update(names)
         if status != 200 or not self.leading:
--- a/emberglade/frontdoor/door.py
+++ b/emberglade/frontdoor/door.py
@@ -22,19 +22,33 @@
 
 
 class Door(Follower):
-    def __init__(self, settings, ledger, keeper, desk):
+    def __init__(self, settings, ledger, desk):
         self.settings = settings
-        self.ledger, self.keeper, self.desk = ledger, keeper, desk
+        self.ledger, self.desk = ledger, desk
         self.size = part_size(settings.value_bytes)
         self.types = {}
+        self.live = {}  # job -> (its key's value, stamp, {part: value}) as committed
         self.final = OrderedDict()  # job -> (glow, done, tasks): final states never change
         self.open_submissions = 0
         # More than a second's worth of the service's write budget can't be accepted in time.
         self.most_submissions = max(4, int(settings.state_write_rps / settings.size))
 
     def on_changed(self, events, revision, whole):
-        for key, data, _ in events:
-            if key == "catalog" and data is not None:
+        if whole:
+            self.live = {}
+        for key, data, stamp in events:
+            if key.startswith("j/"):
+                job_id = key[2:]
+                if data is None:
+                    self.live.pop(job_id, None)
+                else:
+                    self.live[job_id] = (data, stamp, self.live[job_id][2] if job_id in self.live else {})
+            elif key.startswith("t/"):
+                # Only for the counts that users are shown.
+                _, job_id, number = key.split("/")
+                if job_id in self.live:
+                    self.live[job_id][2][number] = data or {}
+            elif key == "catalog" and data is not None:
                 self.types = read_types(data)
 
     # --- requests
@@ -165,19 +179,17 @@
         if revision is None:
             reply(None, None)
             return
-        # Not from the keeper, whose view lags while it writes the job itself.
-        self.ledger.tell("look", [job_key(job_id)], self.then("look_found", job_id, reply))
-
-    def on_look_found(self, job_id, reply, found):
-        row = found[job_key(job_id)]
+        # From what is committed, not from the keeper, whose view runs ahead while it writes.
+        row = self.live.get(job_id)
         if row is None:
             # Not live at the sync: over, or never accepted. Final states are never removed.
             self.ledger.tell("read", DECISIONS, OVER + over_key(job_id), self.then("look_read", job_id, reply))
             return
-        self.keeper.tell("count", job_id, self.then("counted", job_id, bool(row[0].get("w")), reply))
-
-    def on_counted(self, job_id, withdrawn, reply, done, running):
-        reply(True, wire.state(job_id, "withdrawn" if withdrawn else "running" if running else "pending", done, running))
+        data, _, further = row
+        parts = [data.get("p", {}), *further.values()]
+        running = sum(len(part.get("b", ())) for part in parts)
+        done = sum(last - first + 1 for part in parts for first, last in part.get("d", ()))
+        reply(True, wire.state(job_id, "withdrawn" if data.get("w") else "running" if running else "pending", done, running))
 
     def on_look_read(self, job_id, reply, status, data, stamp):
         if status == 200 and isinstance(data, dict) and data.get("glow") in ("done", "withdrawn"):
@@ -227,14 +239,11 @@
         if revision is None:
             self.later(reply, "the state service does not answer")
             return
-        self.ledger.tell("look", [job_key(job_id)], self.then("abort_found", job_id, reply, tries))
-
-    def on_abort_found(self, job_id, reply, tries, found):
-        found = found[job_key(job_id)]
-        if found is None:
+        row = self.live.get(job_id)
+        if row is None:
             self.look_up(job_id, self.then("polled", reply))
             return
-        data, stamp = found
+        data, stamp, _ = row
         if data.get("w"):
             reply(200, wire.state(job_id, "withdrawn"))
             return
--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -19,7 +19,6 @@
     STOP,
     Bound,
     Job,
-    Part,
     job_key,
     over_key,
     part_key,
@@ -37,23 +36,28 @@
         self.size = part_size(settings.value_bytes)
         self.shards = shard_count(settings)
         self.jobs = {}
-        self.loose_parts = {}  # parts seen before their job
+        self.loose_parts = {}  # parts seen before their job: {job: {number: (data, stamp)}}
         self.holders = {}  # shard -> (node, incarnation, stamp)
         self.marks = {}  # machine -> mark
         self.types = {}
         self.inventory = {}  # machine -> placement.Machine
+        self.room = placement.Room(settings.teams)
         self.images = placement.ImageCaches()
         self.dirty = set()
         self.flight = None
         self.deferred = {}
-        self.flush_due = False
+        self.flush_soon = self.flush_later = False
+        self.most_writes = settings.txn_ops  # of one commit; fewer while the state service refuses
         self.place_due = False
+        self.placed_at = float("-inf")
+        self.preempted_at = float("-inf")
         self.suspects = {}  # machine -> (until, errors)
         self.errors = {}  # job -> machines on which a task of it ended in error
         self.loaded = False
         self.desk = None  # set when the node is put together
-        self.bound_at = {}  # (job, task, attempt) -> when it was first seen bound here
-        self.asked = {}  # the same -> when its holder was asked to stop it
+        self.asked = {}  # (job, task, attempt) -> when its holder was asked to stop it
+        self.remains = {}  # parts of jobs that are over: {key: stamp}
+        self.loose_since = {}
 
     def on_begin(self):
         super().on_begin()
@@ -66,7 +70,7 @@
         if whole:
             seen = {key for key, data, _ in events if data is not None}
             for job_id in [j for j in self.jobs if job_key(j) not in seen]:
-                del self.jobs[job_id]
+                self.drop(job_id)
         for event in events:
             if event[0] in self.deferred:
                 self.deferred[event[0]].append(event)
@@ -77,40 +81,39 @@
     def absorb(self, key, data, stamp):
         if key.startswith("j/"):
             job_id = key[2:]
-            old = self.jobs.get(job_id)
+            job = self.jobs.get(job_id)
             if data is None:
-                if old is not None:
-                    del self.jobs[job_id]
-                    self.errors.pop(job_id, None)
+                self.drop(job_id)
                 return
-            if old is not None and old.stamp() >= stamp:
+            if job is not None and job.stamp() >= stamp:
                 return
-            job = Job.decode(job_id, data, stamp)
-            if old is not None:
-                job.hold = old.hold
-                for number, part in old.parts.items():
-                    if number:
-                        job.parts[number] = part
-            for number, part in self.loose_parts.pop(job_id, {}).items():
-                job.parts.setdefault(number, part)
-            self.jobs[job_id] = job
+            if job is None:
+                job = self.jobs[job_id] = Job.decode(job_id, data)
+                for number, (part, part_stamp) in self.loose_parts.pop(job_id, {}).items():
+                    self.merge(job, number, part, part_stamp)
+            job.withdrawn = bool(data.get("w"))
             self.dirty.discard(key)
-            self.note_images(job)
+            self.merge(job, 0, data.get("p", {}), stamp)
             self.settle(job)
         elif key.startswith("t/"):
             _, job_id, number = key.split("/")
             number, job = int(number), self.jobs.get(job_id)
-            parts = job.parts if job is not None else self.loose_parts.setdefault(job_id, {})
-            if data is None:
-                parts.pop(number, None)
-                if job is None and not parts:
-                    self.loose_parts.pop(job_id, None)
-            elif number not in parts or parts[number].stamp < stamp:
-                parts[number] = Part.decode(data, stamp)
+            if job is None:
+                loose = self.loose_parts.setdefault(job_id, {})
+                if data is not None:
+                    loose[number] = (data, stamp)
+                else:
+                    loose.pop(number, None)
+                    self.remains.pop(key, None)
+                if not loose:
+                    del self.loose_parts[job_id]
+            elif data is None:
+                self.merge(job, number, {}, stamp)
+                job.parts.pop(number, None)
+            elif number not in job.parts or job.parts[number].stamp < stamp:
                 self.dirty.discard(key)
-                if job is not None:
-                    self.note_images(job)
-                    self.settle(job)
+                self.merge(job, number, data, stamp)
+                self.settle(job)
         elif key.startswith("s/"):
             if data is None:
                 self.holders.pop(int(key[2:]), None)
@@ -125,11 +128,39 @@
         elif key == "catalog" and data is not None:
             self.types = placement.read_types(data)
 
-    def note_images(self, job):
-        for _, bound in job.bound():
-            machine = self.inventory.get(bound.machine)
-            if machine is not None:
-                self.images.note(bound.machine, job.spec.image, job.spec.image_gb, machine.type.cache_gb)
+    def merge(self, job, number, data, stamp):
+        """Makes one part of the view what was committed; only differences cost anything."""
+        part = job.part(number * job.size)
+        rows = part.bound_rows(data)
+        for task in [task for task in part.bound if task not in rows]:
+            self.unbind(job, task)
+        for task, row in rows.items():
+            bound = part.bound.get(task)
+            if bound is None or bound.row() != row:
+                if bound is not None:
+                    self.unbind(job, task)
+                self.bind(job, task, Bound(*row))
+        part.take_over(data, stamp)
+
+    def bind(self, job, task, bound):
+        bound.since = self.now()
+        job.part(task).bound[task] = bound
+        self.room.add(job, task, bound)
+        machine = self.inventory.get(bound.machine)
+        if machine is not None:
+            self.images.note(bound.machine, job.spec.image, job.spec.image_gb, machine.type.cache_gb)
+
+    def unbind(self, job, task):
+        bound = job.part(task).bound.pop(task)
+        self.room.remove(job, task, bound)
+        return bound
+
+    def drop(self, job_id):
+        job = self.jobs.pop(job_id, None)
+        self.errors.pop(job_id, None)
+        if job is not None:
+            for task, _ in list(job.bound()):
+                self.unbind(job, task)
 
     def holder(self, job):
         return self.holders.get(shard_of(job.spec, self.settings.teams, self.shards))
@@ -142,6 +173,7 @@
 
     def on_inventory(self, machines):
         self.inventory = machines
+        self.room.inventory(machines)
         self.images.keep_only(machines)
         self.soon_place()
 
@@ -153,14 +185,15 @@
         bound = part.bound.get(task)
         if bound is None or (bound.attempt, bound.machine) != (attempt, machine):
             return
-        del part.bound[task]
+        self.unbind(job, task)
         if why == "done" and not job.spec.service:
             part.done.add(task)
         else:
             part.tried[task] = attempt
             self.failed(job, task, machine, why)
-        self.touch(job, task)
+        self.touch(job, task, soon=False)
         self.settle(job)
+        self.soon_place()
 
     def failed(self, job, task, machine, why):
         now = self.now()
@@ -197,24 +230,21 @@
         part = job.part(task)
         bound = part.bound.get(task)
         if bound is not None and (bound.attempt, bound.machine) == (attempt, machine):
-            del part.bound[task]
+            self.unbind(job, task)
             part.tried[task] = attempt
             self.touch(job, task)
 
     def marked(self, machine):
         mark = self.marks.get(machine)
-        for job in list(self.jobs.values()):
+        for (_, task), (job, bound) in list(self.room.on.get(machine, {}).items()):
             if not self.mine(job):
                 continue
-            for task, bound in list(job.bound()):
-                if bound.machine != machine:
-                    continue
-                if mark in ("ended", "gone"):
-                    log.info("%s moves: %s is %s", task_name(job.id, task), machine, mark)
-                    self.release(job, task, bound.attempt, machine)
-                elif mark == "drain" and bound.stop == KEEP:
-                    self.stop(job, task, SAVE, "its machine is drained")
-            self.settle(job)
+            if mark in ("ended", "gone"):
+                log.info("%s moves: %s is %s", task_name(job.id, task), machine, mark)
+                self.release(job, task, bound.attempt, machine)
+                self.settle(job)
+            elif mark == "drain" and bound.stop == KEEP:
+                self.stop(job, task, SAVE, "its machine is drained")
 
     def on_stop(self, job_id, task, attempt, how, reason):
         """Another slice or node wants this attempt stopped: a spot notice, or room for others."""
@@ -233,29 +263,33 @@
 
     # --- writing
 
-    def touch(self, job, task):
+    def touch(self, job, task, soon=True):
         number = task // job.size
         self.dirty.add(part_key(job.id, number) if number else job_key(job.id))
-        self.soon_flush()
+        self.flush_in(soon)
 
     def settle(self, job):
         """Marks a job for its end when nothing more is to come of it."""
-        if not self.mine(job):
-            return
-        if job.over():
+        if job.over() and self.mine(job):
             self.dirty.add(job_key(job.id))
-            self.soon_flush()
+            self.flush_in(False)
 
-    def soon_flush(self):
-        if not self.flush_due and self.flight is None:
-            self.flush_due = True
+    def flush_in(self, soon):
+        """Exits can wait for company, since each written key counts; starts and stops can't."""
+        if self.flight is not None or self.flush_soon or (self.flush_later and not soon):
+            return
+        if soon:
+            self.flush_soon = True
             self.after(0.02, "flush")
+        else:
+            self.flush_later = True
+            self.after(self.settings.report_s / 5, "flush")
 
     def on_flush(self):
-        self.flush_due = False
+        self.flush_soon = self.flush_later = False
         if self.flight is not None or not self.dirty:
             return
-        conditions, writes, keys, shards, size = {}, [], {}, set(), 0
+        conditions, writes, keys, size = {}, [], {}, 0
         ends = []
         for key in sorted(self.dirty):
             job_id = key.split("/")[1]
@@ -265,7 +299,7 @@
                 continue
             holder = self.holder(job)
             ended = job.over()
-            if len(writes) + (2 if ended else 1) > self.settings.txn_ops or size > 40_000:
+            if writes and (len(writes) + (2 if ended else 1) > self.most_writes or size > 40_000):
                 break
             conditions[f"{LIVE}s/{shard_of(job.spec, self.settings.teams, self.shards)}"] = holder[2]
             if key.startswith("j/"):
@@ -288,7 +322,6 @@
                 writes.append(state_wire.put(LIVE + key, part.encode()))
             keys[key] = part
             self.dirty.discard(key)
-            shards.add(key)
         if not writes:
             return
         self.flight = keys
@@ -300,39 +333,47 @@
 
     def on_flushed(self, ends, status, revision, failed):
         if status == 200 and revision is not None:
+            self.most_writes = min(self.settings.txn_ops, 2 * self.most_writes)
             keys, self.flight = self.flight, None
             for part in keys.values():
                 part.stamp = revision
             for job_id, glow in ends:
-                job = self.jobs.pop(job_id, None)
+                job = self.jobs.get(job_id)
                 log.info("%s is %s after %.1f s", job_id, glow, self.system.wall() - job.spec.submitted if job else 0)
-                if job is not None and len(job.parts) > 1:
-                    self.drop_parts(job)
-            deferred, self.deferred = self.deferred, {}
-            for events in deferred.values():
-                for event in events:
-                    if event[2] > revision:
-                        self.absorb(*event)
+                if job is not None:
+                    self.drop(job_id)
+                    self.remains.update((part_key(job_id, number), part.stamp) for number, part in job.parts.items() if number)
+            # Others' starts follow from the copy; it is asked for at once.
+            self.ledger.tell("sync", lambda revision: None)
+            self.absorb_deferred(revision)
+        elif status in (503, 429):
+            # Not executed: the same wish is written again a little later, in smaller commits if
+            # there were too many writes for the moment.
+            if status == 429:
+                self.most_writes = max(1, self.most_writes // 2)
+            keys, self.flight = self.flight, None
+            self.dirty.update(keys)
+            self.absorb_deferred(-1)
+            self.flush_soon = True
+            self.after(0.2, "flush")
+            return
         else:
-            if status in (503, 429):
-                # Not executed: the same wish is written again a little later.
-                keys, self.flight = self.flight, None
-                deferred, self.deferred = self.deferred, {}
-                self.dirty.update(keys)
-                for events in deferred.values():
-                    for event in events:
-                        self.absorb(*event)
-                self.flush_due = True
-                self.after(0.2, "flush")
-                return
             log.info("a commit of %d keys got %s (%s); they are read again", len(self.flight),
                      "no answer" if status == NO_ANSWER else status, failed)
             self.ledger.tell("sync", self.then("resync"))
             return
+        self.drop_remains()
         if self.dirty:
-            self.soon_flush()
+            self.flush_in(True)
         self.soon_place()
 
+    def absorb_deferred(self, revision):
+        deferred, self.deferred = self.deferred, {}
+        for events in deferred.values():
+            for event in events:
+                if event[2] > revision:
+                    self.absorb(*event)
+
     def on_resync(self, revision):
         if revision is None:
             self.after(0.5, "retry_sync")
@@ -345,46 +386,63 @@
     def on_looked(self, found):
         keys, self.flight = self.flight, None
         self.deferred = {}
-        for key in keys:
-            self.dirty.discard(key)
+        for key, part in keys.items():
             # Forget the wish: the view falls back to what is committed.
-            job_id = key.split("/")[1]
-            job = self.jobs.get(job_id)
-            if key.startswith("j/"):
+            self.dirty.discard(key)
+            part.stamp = -1
+            if found[key] is None and key.startswith("t/"):
+                job, number = self.jobs.get(key.split("/")[1]), int(key.split("/")[2])
                 if job is not None:
-                    job.part(0).stamp = 0
-            elif job is not None:
-                job.parts.pop(int(key.split("/")[2]), None)
-            if found[key] is None:
-                self.absorb(key, None, 0)
+                    self.merge(job, number, {}, 0)
             else:
-                self.absorb(key, *found[key])
+                self.absorb(key, *(found[key] or (None, 0)))
         self.soon_place()
         if self.dirty:
-            self.soon_flush()
-
-    def drop_parts(self, job):
-        keys = [part_key(job.id, number) for number in job.parts if number]
-        for first in range(0, len(keys), self.settings.txn_ops):
-            some = keys[first:first + self.settings.txn_ops]
-            self.ledger.tell("commit", DECISIONS, [], [state_wire.remove(LIVE + key) for key in some],
-                             lambda status, revision, failed: None)
+            self.flush_in(True)
+
+    def drop_remains(self):
+        """Removes the further parts of jobs that are over, a few at a time."""
+        some = {key: self.remains.pop(key) for key in list(self.remains)[:self.most_writes]}
+        if some:
+            # A live job's own key is always there, so without it nobody needs its parts.
+            owners = {job_key(key.split("/")[1]) for key in some}
+            self.ledger.tell("commit", DECISIONS, [(LIVE + key, stamp) for key, stamp in some.items()] + [(LIVE + key, 0) for key in owners],
+                             [state_wire.remove(LIVE + key) for key in some], self.then("remains_dropped", some))
+
+    def on_remains_dropped(self, some, status, revision, failed):
+        if status not in (200, 409):
+            self.remains.update(some)
+
+    def sweep(self):
+        """Parts that a crash left behind: one node removes those whose job is not there for long."""
+        holder = self.holders.get(0)
+        if holder is None or holder[:2] != (self.settings.node, self.incarnation):
+            return
+        now = self.now()
+        self.loose_since = {job_id: self.loose_since.get(job_id, now) for job_id in self.loose_parts}
+        for job_id, since in self.loose_since.items():
+            if now - since > 2 * self.settings.lease_s:
+                self.remains.update((part_key(job_id, number), stamp) for number, (_, stamp) in self.loose_parts[job_id].items())
 
     # --- placing
 
     def soon_place(self):
         if not self.place_due:
             self.place_due = True
-            self.after(0.05, "place")
+            # A round costs more the more there is; so that rounds leave time for reports, the next
+            # one comes no sooner than a few times what the last one took.
+            self.after(max(0.05, self.placed_at - self.now()), "place")
 
     def on_tick(self):
         self.after(0.5, "tick")
         for job in list(self.jobs.values()):
             self.settle(job)
-            if self.mine(job):
-                for task, bound in list(job.bound()):
-                    if self.marks.get(bound.machine) in ("ended", "gone"):
-                        self.release(job, task, bound.attempt, bound.machine)
+        for machine, mark in self.marks.items():
+            if mark in ("ended", "gone") and machine in self.room.on:
+                self.marked(machine)
+        self.sweep()
+        if self.flight is None:
+            self.drop_remains()
         self.soon_place()
 
     def on_place(self):
@@ -395,49 +453,63 @@
         waiting = [job for job in self.jobs.values() if not job.withdrawn and job.waiting_count()]
         if not any(self.mine(job) for job in waiting):
             return
-        room = placement.Room(
-            self.inventory,
-            [name for name, machine in self.inventory.items()
-             if name not in self.marks and self.suspects.get(name, (0, 0))[0] <= now and machine.open],
-            self.jobs.values(), self.settings.teams, self.images)
+        turn = placement.Round(
+            self.room,
+            {name for name, machine in self.inventory.items()
+             if name not in self.marks and self.suspects.get(name, (0, 0))[0] <= now and machine.open},
+            self.images)
         wall = self.system.wall()
-        waiting.sort(key=lambda job: placement.order(job.spec, self.settings.objectives, wall))
+        starving = {job.id for job in waiting if self.starves(job, wall)}
+        waiting.sort(key=lambda job: (job.id not in starving, placement.order(job.spec, self.settings.objectives, wall)))
         budget = self.settings.txn_ops * 4 * self.size
         spare = placement.headroom(self.jobs.values(), self.settings.objectives, self.types, wall)
         for job in waiting:
             for ahead, tasks in [row for row in spare if row[0].spec.rank < job.spec.rank]:
                 spare.remove((ahead, tasks))
-                for _ in range(math.ceil(tasks)):
-                    machine = room.choose(ahead)
-                    if machine is not None:
-                        room.take(ahead, machine)
+                turn.fill(ahead, math.ceil(tasks))
             # Every holder plays the round through for all jobs, in the same order, and binds only
             # its own tasks: room that a free machine offers is not fought over by three nodes.
             mine = self.mine(job)
             if budget <= 0 and mine:
                 continue
-            if job.spec.together and not job.bound_count() and not room.holds_all(job, job.waiting_count()):
+            most = min(job.waiting_count(), turn.most(job.spec), 256)
+            if most <= 0:
                 continue
-            for task in job.waiting(now, min(job.waiting_count(), 256)):
-                if not mine and job.part(task).tried.get(task, 0) > 3:
-                    continue  # its holder may well be holding it back
-                machine = room.choose(job)
-                if machine is None:
-                    break
-                if not mine:
-                    room.take(job, machine)
-                    continue
-                log.info("placing %s on %s after %.1f s%s", task_name(job.id, task), machine,
-                         self.system.wall() - job.spec.submitted,
-                         "" if self.images.has(machine, job.spec.image) else f", image {job.spec.image} not cached")
-                self.images.note(machine, job.spec.image, job.spec.image_gb, self.inventory[machine].type.cache_gb)
+            if job.id in starving:
+                # Enough to begin; the rest takes its place in the ordinary order.
+                most = min(most, math.ceil(job.spec.tasks / 8))
+            tasks = job.waiting(now, most)
+            if not mine:
+                # What was often tried its holder may well be holding back.
+                tasks = [task for task in tasks if job.part(task).tried.get(task, 0) <= 3]
+            together = job.spec.together and not job.bound_count()
+            found = turn.fill(job, len(tasks))
+            if together and len(found) < job.waiting_count():
+                turn.forget(len(found))
+                continue
+            if not mine or not found:
+                continue
+            turn.forget(len(found))
+            missing = 0
+            for task, machine in zip(tasks, found, strict=False):
+                missing += not self.images.has(machine, job.spec.image)
                 part = job.part(task)
-                attempt = part.tried.pop(task, 0) + 1
-                part.bound[task] = Bound(attempt, machine, self.inventory[machine].session)
-                room.take(job, machine)
+                self.bind(job, task, Bound(part.tried.pop(task, 0) + 1, machine, self.inventory[machine].session))
                 self.touch(job, task)
-                budget -= 1
-        self.preempt(now, waiting, room)
+            budget -= len(found)
+            log.info("placing %d tasks of %s after %.1f s on %s%s", len(found), job.id, wall - job.spec.submitted,
+                     " ".join(sorted(set(found))), f", image {job.spec.image} not cached for {missing}" if missing else "")
+        self.preempt(now, waiting, turn)
+        turn.undo()
+        self.placed_at = self.now() + 3 * (self.now() - now)
+
+    def starves(self, job, wall):
+        """Whether a job that has not begun at all has waited so long that it goes first.
+
+        A line by rank and due time alone leaves the largest and lowest jobs waiting for ever when
+        more keeps coming than can be served.
+        """
+        return wall - job.spec.submitted > 8 * self.settings.lease_s and not job.bound_count() and not job.done_count()
 
     def pressing(self, job, now):
         """Whether a waiting job may have others stopped now: a deadline leaves room for patience."""
@@ -449,55 +521,58 @@
             return spec.deadline_s - age < spec.estimate_s * 1.5 + self.settings.lease_s
         return spec.rank < 2 and age > self.settings.lease_s
 
-    def preempt(self, now, waiting, room):
-        keys = set()
-        bound = []
-        for job in self.jobs.values():
-            for task, b in job.bound():
-                key = (job.id, task, b.attempt)
-                keys.add(key)
-                self.bound_at.setdefault(key, now)
-                bound.append((job, task, b))
-        self.bound_at = {key: at for key, at in self.bound_at.items() if key in keys}
-        self.asked = {key: at for key, at in self.asked.items() if key in keys and now - at < 2 * self.settings.report_s}
-        own = [job for job in waiting if self.mine(job) and job.waiting_count() and self.pressing(job, now)]
+    def preempt(self, now, waiting, turn):
+        if now - self.preempted_at < self.settings.report_s / 5:
+            return
+        room, teams = self.room, self.settings.teams
+        pressing = [job for job in waiting if self.mine(job) and job.waiting_count() and self.pressing(job, now)]
+        own = [(job, [other for other in self.jobs.values() if other is not job and other.bound_count()
+                      and placement.preempt.may_stop(job.spec, other.spec, room, teams)]) for job in pressing]
+        own = [(job, victims) for job, victims in own if victims]
         if not own:
             return
+        self.preempted_at = now
+        self.asked = {key: at for key, at in self.asked.items() if now - at < 2 * self.settings.report_s}
 
         def stopping(row):
             return row[2].stop != KEEP or row[0].withdrawn or (row[0].id, row[1], row[2].attempt) in self.asked
 
         def fresh(row):
             # A start that is stopped within 30 s does not count as one for its user.
-            return now - self.bound_at[(row[0].id, row[1], row[2].attempt)] < 30
+            return now - row[2].since < 30
 
         # What is being stopped already will be room; it is counted as such, not stopped for twice.
-        keep = [row for row in bound if not stopping(row)]
-        for row in bound:
-            if stopping(row):
-                room.give(row[0], row[2].machine)
-        for job in own:
-            most = min(job.waiting_count(), 64)
-            for _ in range(most):
-                if not room.within_limit(job.spec):
-                    victims = placement.preempt.for_limit(job.spec, 1, keep, room, self.settings.teams, fresh)
+        for job in self.jobs.values():
+            for bound in [bound for _, bound in job.bound() if bound.stop or job.withdrawn]:
+                turn.give(job.spec, bound.machine)
+        for job_id, task, attempt in self.asked:
+            job = self.jobs.get(job_id)
+            bound = job.part(task).bound.get(task) if job is not None else None
+            if bound is not None and bound.attempt == attempt and not bound.stop and not job.withdrawn:
+                turn.give(job.spec, bound.machine)
+        most = 16  # each costs a look at all machines; the next round comes soon
+        for job, victim_jobs in own:
+            rows = [(other, task, bound) for other in victim_jobs for task, bound in other.bound()
+                    if not stopping((other, task, bound))]
+            for _ in range(min(job.waiting_count(), 64)):
+                if not room.more_within_limit(job.spec):
+                    victims = placement.preempt.for_limit(job.spec, rows, room, teams, fresh)
                     if not victims:
                         break
-                elif room.choose(job) is not None:
-                    room.take(job, room.choose(job))
+                elif turn.fill(job, 1):
                     continue
                 else:
-                    found = placement.preempt.for_room(job, keep, room, self.settings.teams, fresh)
-                    if found is None:
+                    victims = placement.preempt.for_room(job, rows, turn, teams, fresh)
+                    if not victims:
                         break
-                    victims = found[1]
                 for row in victims:
-                    keep.remove(row)
-                    room.give(row[0], row[2].machine)
+                    rows.remove(row)
+                    turn.give(row[0].spec, row[2].machine)
                     self.ask_stop(now, row, f"room for {job.id}")
-                chosen = room.choose(job)
-                if chosen is not None:
-                    room.take(job, chosen)
+                turn.fill(job, 1)
+                most -= 1
+                if most <= 0:
+                    return
 
     def ask_stop(self, now, row, reason):
         job, task, bound = row
@@ -509,11 +584,6 @@
 
     # --- questions of other slices
 
-    def on_count(self, job_id, reply):
-        """`reply(done, bound)`, for display."""
-        job = self.jobs.get(job_id)
-        reply(*((0, 0) if job is None else (job.done_count(), job.bound_count())))
-
     def on_demand(self, reply):
         """`reply({pool: machines})`: what own jobs ask for, in whole machines."""
         own = [job for job in self.jobs.values() if self.mine(job) and not job.withdrawn]
@@ -522,4 +592,4 @@
 
     def on_occupied(self, reply):
         """`reply(machines that any bound task names)`."""
-        reply({bound.machine for job in self.jobs.values() for _, bound in job.bound()})
+        reply(set(self.room.on))
--- a/emberglade/jobs/record.py
+++ b/emberglade/jobs/record.py
@@ -44,6 +44,14 @@
     machine: str
     session: int
     stop: int = KEEP
+    since: float = 0.0  # when this node first saw it; not kept
+
+    def row(self):
+        """As it is kept."""
+        found = [self.attempt, self.machine, self.session]
+        if self.stop:
+            found.append(self.stop)
+        return found
 
 
 @dataclass
@@ -58,17 +66,21 @@
         if self.done:
             data["d"] = to_ranges(self.done)
         if self.bound:
-            data["b"] = {str(n): [b.attempt, b.machine, b.session, b.stop] if b.stop else [b.attempt, b.machine, b.session]
-                         for n, b in self.bound.items()}
+            data["b"] = {str(n): b.row() for n, b in self.bound.items()}
         if self.tried:
             data["t"] = {str(n): attempt for n, attempt in self.tried.items()}
         return data
 
-    @classmethod
-    def decode(cls, data, stamp):
-        return cls(done=from_ranges(data.get("d", ())),
-                   bound={int(n): Bound(*row) for n, row in data.get("b", {}).items()},
-                   tried={int(n): attempt for n, attempt in data.get("t", {}).items()}, stamp=stamp)
+    @staticmethod
+    def bound_rows(data):
+        """{task: row as kept} of an encoded part."""
+        return {int(n): row for n, row in data.get("b", {}).items()}
+
+    def take_over(self, data, stamp):
+        """Becomes what was committed, but for the bound tasks, which the caller compares."""
+        self.done = from_ranges(data.get("d", ()))
+        self.tried = {int(n): attempt for n, attempt in data.get("t", {}).items()}
+        self.stamp = stamp
 
 
 def to_ranges(numbers):
@@ -178,6 +190,8 @@
         for number in range((self.spec.tasks + self.size - 1) // self.size):
             part = self.parts.get(number)
             first = number * self.size
+            if part is not None and len(part.done) + len(part.bound) >= min(self.size, self.spec.tasks - first):
+                continue
             for task in range(first, min(first + self.size, self.spec.tasks)):
                 if part is not None and (task in part.bound or task in part.done):
                     continue
@@ -201,10 +215,9 @@
         return data
 
     @classmethod
-    def decode(cls, job_id, data, stamp):
-        job = cls(Spec.decode(job_id, data["s"]), data["z"], bool(data.get("w")))
-        job.parts[0] = Part.decode(data.get("p", {}), stamp)
-        return job
+    def decode(cls, job_id, data):
+        """The job without its parts."""
+        return cls(Spec.decode(job_id, data["s"]), data["z"], bool(data.get("w")))
 
 
 def shard_of(spec, teams, shards):
--- a/emberglade/membership/member.py
+++ b/emberglade/membership/member.py
@@ -25,11 +25,12 @@
         self.settings, self.ledger = settings, ledger
         self.listeners = listeners  # actors told `identity(incarnation)`
         self.lease = None
-        # A crashed node is taken over within a third of a worker's lease; it is back sooner.
+        # A crashed node is taken over within a third of a worker's lease; mostly it is back sooner.
         self.life_s = max(0.1, settings.lease_s / 3)
         self.nodes, self.shards, self.lead = {}, {}, None
         self.loaded = False
-        self.table = None
+        self.table, self.further = None, []
+        self.further_keys = 0
         self.busy_shards = False
         self.busy_lead = False
         self.busy_key = False
@@ -71,9 +72,9 @@
             self.lease = None
             self.on_grant()
 
-    def on_table(self, table):
-        """The 5 s table of counts and free room, from the agents."""
-        self.table = table
+    def on_table(self, table, further):
+        """The 5 s table of counts and machines, from the agents; `further` holds what didn't fit."""
+        self.table, self.further = table, further
         self.key_dirty = True
         self.write_key()
 
@@ -81,9 +82,14 @@
         if self.busy_key or self.lease is None or not self.key_dirty:
             return
         self.busy_key, self.key_dirty = True, False
+        me = self.settings.node
         data = {"inc": self.incarnation, "table": self.table}
-        self.ledger.tell("commit", DECISIONS, [], [state_wire.put(LIVE + "n/" + self.settings.node, data, self.lease)],
-                         self.then("key_written", self.lease))
+        self.further_keys = max(self.further_keys, len(self.further))
+        # Values are limited, so a long table takes several keys, written together.
+        further = self.further + [{}] * (self.further_keys - len(self.further))
+        writes = [state_wire.put(LIVE + "n/" + me, data, self.lease)]
+        writes += [state_wire.put(f"{LIVE}r/{me}/{n}", {"m": rows}, self.lease) for n, rows in enumerate(further)]
+        self.ledger.tell("commit", DECISIONS, [], writes[:self.settings.txn_ops], self.then("key_written", self.lease))
 
     def on_key_written(self, lease, status, revision, failed):
         self.busy_key = False
@@ -149,9 +155,11 @@
                 writes = [state_wire.put(f"{LIVE}s/{k}", {"node": me, "inc": self.incarnation}) for k in take]
                 log.info("taking shards %s", take)
                 self.ledger.tell("commit", DECISIONS, conditions, writes, self.then("claimed"))
-        if self.lead is None and not self.busy_lead:
+        # A node that is back at once finds the lead of its own former process, which is no more.
+        stale = self.lead is not None and self.lead[0] == me and self.lead[1] != self.incarnation
+        if (self.lead is None or stale) and not self.busy_lead:
             self.busy_lead = True
-            self.ledger.tell("commit", DECISIONS, [(LIVE + "lead", 0)],
+            self.ledger.tell("commit", DECISIONS, [(LIVE + "lead", self.lead[2] if stale else 0)],
                              [state_wire.put(LIVE + "lead", {"node": me, "inc": self.incarnation}, self.lease)],
                              self.then("led", self.lease))
 
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -7,7 +7,7 @@
 import orjson
 
 from .actors import ThreadSystem
-from .agents import Desk
+from .agents import Desk, read_facts
 from .fleet import Steward
 from .frontdoor import Door
 from .jobs import Keeper
@@ -17,9 +17,6 @@
 
 log = logging.getLogger("emberglade")
 
-TASK_MESSAGES = ("exited", "gone", "stop")  # what peers may tell the keeper
-
-
 @dataclass
 class Node:
     ledger: Ledger
@@ -41,23 +38,24 @@
             return
         if path == "/peer/heard" and method == "POST":
             self.desk.tell("heard", reply)
-        elif path == "/peer/task" and method == "POST" and isinstance(data, list) and len(data) > 2 and data[0] in TASK_MESSAGES:
-            self.keeper.tell(*data)
+        elif path == "/peer/facts" and method == "POST" and isinstance(data, list):
+            for fact in read_facts(data):
+                self.keeper.tell(*fact)
             reply(200, {})
         else:
             reply(404, {"error": "no such path"})
 
 
-def assemble(settings, operators, state_link, watch_link, cloud_link, peer_links, workers):
+def assemble(settings, operators, state_link, cloud_link, peer_links, workers):
     """The actors of one node, not running yet."""
-    ledger = Ledger(settings, state_link, watch_link)
+    ledger = Ledger(settings, state_link)
     keeper = Keeper(settings, ledger)
     listeners = [keeper]
     member = Member(settings, ledger, listeners)
     desk = Desk(settings, ledger, keeper, member, peer_links, workers)
     keeper.desk = desk
     steward = Steward(settings, operators, ledger, keeper, desk, cloud_link)
-    door = Door(settings, ledger, keeper, desk)
+    door = Door(settings, ledger, desk)
     listeners += [desk, steward]
     return Node(ledger, keeper, member, desk, steward, door)
 
@@ -67,7 +65,7 @@
     system = ThreadSystem()
     patience = min(settings.lease_s / 4, 3.0)
     node = assemble(
-        settings, operators, Link(settings.state, 6, "state-link"), Link(settings.state, 1, "watch-link"),
+        settings, operators, Link(settings.state, 6, "state-link"),
         Link(settings.cloud, 2, "cloud-link"), {peer.name: Link(peer.address, 1, "peer-" + peer.name, 64) for peer in settings.peers},
         Pool(4, "workers"))
     # A quarter of the descriptors is kept for links and for what the platform itself needs.
--- a/emberglade/placement/preempt.py
+++ b/emberglade/placement/preempt.py
@@ -2,6 +2,8 @@
 
 Work of a lower rank may be stopped for work of a higher; work of a team beyond its guarantee, of
 any rank, for a team within its own. Nothing else is ever stopped to make room.
+
+A row is (job, task, bound).
 """
 
 from .types import SLACK
@@ -23,13 +25,13 @@
     return within and (over[0] - victim.cpus >= theirs.cpus - SLACK or over[1] - victim.gpus > theirs.gpus + SLACK)
 
 
-def for_limit(spec, count, bound, room, teams, fresh):
-    """Victims of the same team whose end brings `count` tasks of `spec` within its limit."""
+def for_limit(spec, rows, room, teams, fresh):
+    """Victims of the same team whose end brings one task of `spec` within its limit."""
     team = teams[spec.team]
     use = room.team_use.get(spec.team, (0.0, 0.0))
-    need = [max(0.0, use[slot] + count * amount - limit) if limit > 0 else 0.0
+    need = [max(0.0, use[slot] + amount - limit) if limit > 0 else 0.0
             for slot, amount, limit in ((0, spec.cpus, team.cpus_max), (1, spec.gpus, team.gpus_max))]
-    rows = sorted((row for row in bound if row[0].spec.team == spec.team and row[0].spec.rank > spec.rank),
+    rows = sorted((row for row in rows if row[0].spec.team == spec.team and row[0].spec.rank > spec.rank),
                   key=lambda row: (cost(row[0].spec, fresh(row)), row[0].id, row[1]))
     victims = []
     for row in rows:
@@ -41,20 +43,25 @@
     return victims
 
 
-def for_room(job, bound, room, teams, fresh):
+def for_room(job, rows, turn, teams, fresh):
     """The cheapest victims on one machine whose end makes room for one task, or None."""
-    spec = job.spec
+    spec, room = job.spec, turn.room
+    zones, known = room.zones_of(job)
+    if not known and (spec.one_zone or spec.scatter):
+        return None
     by_machine = {}
-    for row in bound:
-        if row[2].machine in room.free and may_stop(spec, row[0].spec, room, teams):
+    for row in rows:
+        if row[2].machine in turn.usable and may_stop(spec, row[0].spec, room, teams):
             by_machine.setdefault(row[2].machine, []).append(row)
     best = None
-    for name, rows in by_machine.items():
-        if not room.allowed(job, name):
+    for name, there in by_machine.items():
+        zone = room.machines[name].zone
+        if (not turn.allowed(spec, name) or (spec.one_zone and zones and zone not in zones)
+                or (spec.scatter and zones.get(zone, 0) >= (spec.tasks + 1) // 2)):
             continue
-        rows.sort(key=lambda row: (cost(row[0].spec, fresh(row)), row[0].id, row[1]))
+        there.sort(key=lambda row: (cost(row[0].spec, fresh(row)), row[0].id, row[1]))
         free, victims = list(room.free[name]), []
-        for row in rows:
+        for row in there:
             if room.fits(spec, free):
                 break
             victims.append(row)
@@ -63,8 +70,8 @@
             free[2] += row[0].spec.ram
         if not room.fits(spec, free):
             continue
-        score = (spec.image_gb > 0 and not room.images.has(name, spec.image), max(cost(r[0].spec, fresh(r)) for r in victims)
-                 if victims else (), len(victims), name)
+        score = (spec.image_gb > 0 and not turn.images.has(name, spec.image),
+                 max(cost(r[0].spec, fresh(r)) for r in victims) if victims else (), len(victims), name)
         if best is None or score < best[0]:
             best = (score, name, victims)
-    return best[1:] if best else None
+    return best[2] if best else None
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -1,4 +1,4 @@
-"""The free-room table of one round of placing."""
+"""The free-room table, kept up to date task by task, and one round of placing on it."""
 
 from dataclasses import dataclass
 
@@ -14,7 +14,7 @@
     zone: str
     spot: bool
     session: int
-    open: bool  # heard of lately and not about to be taken
+    open: bool  # heard of lately, hears us, and not about to be taken
 
 
 def order(spec, objectives, wall):
@@ -32,116 +32,180 @@
 
 
 class Room:
-    def __init__(self, inventory, usable, jobs, teams, images):
-        machines = {name: inventory[name] for name in usable}
-        self.machines, self.teams, self.images = machines, teams, images
-        self.free = {name: [m.type.cpus, m.type.gpus, m.type.ram] for name, m in machines.items()}
+    """What every bound task takes: per machine, per team. Changed only by `add` and `remove`."""
+
+    def __init__(self, teams):
+        self.teams = teams
+        self.machines = {}
+        self.free = {}  # machine -> [cpus, gpus, ram]
+        self.replicas = {}
         self.team_use = {}
-        self.zones = {}  # job -> {zone: tasks}
-        self.replicas = dict.fromkeys(machines, 0)
-        self.zone_of = {name: m.zone for name, m in inventory.items()}
-        self.unplaced_zone = set()
-        for job in jobs:
-            for _, bound in job.bound():
-                self._count(job, bound.machine)
-
-    def _count(self, job, name):
-        spec = job.spec
-        use = self.team_use.setdefault(spec.team, [0.0, 0.0])
-        use[0] += spec.cpus
-        use[1] += spec.gpus
-        free = self.free.get(name)
-        if free is not None:
-            free[0] -= spec.cpus
-            free[1] -= spec.gpus
-            free[2] -= spec.ram
-            self.replicas[name] += spec.service
-        zone = self.zone_of.get(name)
-        # A machine that is not known any more may be in any zone: the job has to wait for it
-        # where zones matter.
-        if zone is None:
-            self.unplaced_zone.add(spec.id)
-        else:
-            zones = self.zones.setdefault(spec.id, {})
-            zones[zone] = zones.get(zone, 0) + 1
-
-    def take(self, job, name):
-        self._count(job, name)
-
-    def give(self, job, name):
-        """Counts a task as gone; its zone stays taken until it really is."""
-        spec = job.spec
-        use = self.team_use[spec.team]
-        use[0] -= spec.cpus
-        use[1] -= spec.gpus
+        self.on = {}  # machine -> {(job, task): (Job, Bound)}
+        self.zones = {}  # machine -> zone, kept as long as a task may be there
+
+    def inventory(self, machines):
+        """The machines that are there now; what is bound on others stays bound."""
+        for name, machine in machines.items():
+            before = self.machines.get(name)
+            if before is None or before.type is not machine.type:
+                self.zones[name] = machine.zone
+                free = self.free[name] = [machine.type.cpus, machine.type.gpus, machine.type.ram]
+                self.replicas[name] = 0
+                for job, _ in self.on.get(name, {}).values():
+                    self._take(job.spec, name, free)
+        for name in [name for name in self.free if name not in machines]:
+            del self.free[name], self.replicas[name]
+            if name not in self.on:
+                self.zones.pop(name, None)
+        self.machines = machines
+
+    def _take(self, spec, name, free):
+        free[0] -= spec.cpus
+        free[1] -= spec.gpus
+        free[2] -= spec.ram
+        self.replicas[name] += spec.service
+
+    def count(self, spec, name, sign=1):
+        """Counts one task on a machine (or off it, with sign -1)."""
+        use = self.team_use.get(spec.team)
+        if use is None:
+            use = self.team_use[spec.team] = [0.0, 0.0]
+        use[0] += sign * spec.cpus
+        use[1] += sign * spec.gpus
         free = self.free.get(name)
         if free is not None:
-            free[0] += spec.cpus
-            free[1] += spec.gpus
-            free[2] += spec.ram
-
-    def within_limit(self, spec):
+            free[0] -= sign * spec.cpus
+            free[1] -= sign * spec.gpus
+            free[2] -= sign * spec.ram
+            self.replicas[name] += sign * spec.service
+
+    def add(self, job, task, bound):
+        self.on.setdefault(bound.machine, {})[(job.id, task)] = (job, bound)
+        self.count(job.spec, bound.machine)
+
+    def remove(self, job, task, bound):
+        here = self.on[bound.machine]
+        del here[(job.id, task)]
+        if not here:
+            del self.on[bound.machine]
+            if bound.machine not in self.machines:
+                self.zones.pop(bound.machine, None)
+        self.count(job.spec, bound.machine, -1)
+
+    def more_within_limit(self, spec):
+        """How many more tasks like this the team's limit allows."""
         team = self.teams.get(spec.team)
         if team is None:
-            return False
+            return 0
         use = self.team_use.get(spec.team, (0.0, 0.0))
-        return ((team.cpus_max <= 0 or use[0] + spec.cpus <= team.cpus_max + SLACK)
-                and (team.gpus_max <= 0 or use[1] + spec.gpus <= team.gpus_max + SLACK))
+        most = spec.tasks
+        for limit, need, used in ((team.cpus_max, spec.cpus, use[0]), (team.gpus_max, spec.gpus, use[1])):
+            if limit > 0 and need > 0:
+                most = min(most, int((limit - used) / need + SLACK))
+        return max(0, most)
 
     @staticmethod
     def fits(spec, free):
         return free[0] + SLACK >= spec.cpus and free[2] + SLACK >= spec.ram and free[1] + SLACK >= spec.gpus
 
-    def allowed(self, job, name):
-        """Whether kind, type and zone of the machine suit the job, given its other tasks."""
-        spec, machine = job.spec, self.machines[name]
-        if machine.spot and not spec.spot:
-            return False
-        if spec.types is not None and machine.type.name not in spec.types:
-            return False
-        if spec.zone is not None and machine.zone != spec.zone:
-            return False
-        if spec.one_zone or spec.scatter:
-            zones = self.zones.get(spec.id, {})
-            if spec.id in self.unplaced_zone:
-                return False
-            if spec.one_zone and zones and machine.zone not in zones:
-                return False
-            if spec.scatter and zones.get(machine.zone, 0) >= (spec.tasks + 1) // 2:
-                return False
-        return True
-
-    def holds_all(self, job, count):
-        """Whether `count` tasks of the job would find room now."""
-        taken = []
-        while len(taken) < count and (name := self.choose(job)) is not None:
-            self.take(job, name)
-            taken.append(name)
-        for name in taken:
-            self.give(job, name)
-            zones = self.zones[job.spec.id]
-            zones[self.zone_of[name]] -= 1
-            if not zones[self.zone_of[name]]:
-                del zones[self.zone_of[name]]
-        return len(taken) == count
-
-    def choose(self, job):
-        spec = job.spec
-        if not self.within_limit(spec):
-            return None
-        best, best_score = None, None
-        for name, machine in self.machines.items():
-            if not self.fits(spec, self.free[name]) or not self.allowed(job, name):
-                continue
-            score = (
-                0 if spec.image_gb <= 0 or self.images.has(name, spec.image) else 1,
-                # Replicas live long: on few machines they keep few from going back.
-                -self.replicas[name] if spec.service else self.replicas[name] > 0,
-                # Cheap machines first for what may use them, so that ordinary room stays free.
-                0 if machine.spot == spec.spot else 1,
-                # The same machines first at all times, so that the others fall idle and go back.
-                name,
-            )
-            if best_score is None or score < best_score:
-                best, best_score = name, score
-        return best
+    def zones_of(self, job):
+        """({zone: bound tasks}, whether every task's zone is known)."""
+        zones, known = {}, True
+        for _, bound in job.bound():
+            zone = self.zones.get(bound.machine)
+            # A machine that is not known any more may be in any zone: the job has to wait for it
+            # where zones matter.
+            if zone is None:
+                known = False
+            else:
+                zones[zone] = zones.get(zone, 0) + 1
+        return zones, known
+
+
+class Round:
+    """One round of placing: what it takes is taken back by `undo`, unless it was bound since."""
+
+    def __init__(self, room, usable, images):
+        self.room, self.images = room, images
+        self.usable = usable
+        # Most machines are full most of the time; only the others are looked at for every job.
+        self.roomy = [name for name in usable if room.free[name][0] > SLACK and room.free[name][2] > SLACK]
+        self.taken = []
+        self.full = set()  # needs for which no room was left; room only shrinks within a round
+
+    def allowed(self, spec, name):
+        """Whether kind, type and zone of the machine suit the job, its other tasks apart."""
+        machine = self.room.machines[name]
+        return ((spec.spot or not machine.spot) and (spec.types is None or machine.type.name in spec.types)
+                and (spec.zone is None or machine.zone == spec.zone))
+
+    def score(self, spec, name):
+        room = self.room
+        return (
+            spec.image_gb > 0 and not self.images.has(name, spec.image),
+            # Replicas live long: on few machines they keep few from going back.
+            -room.replicas[name] if spec.service else room.replicas[name] > 0,
+            # Cheap machines first for what may use them, so that ordinary room stays free.
+            room.machines[name].spot != spec.spot,
+            # The same machines first at all times, so that the others fall idle and go back.
+            name,
+        )
+
+    @staticmethod
+    def needs(spec):
+        return spec.cpus, spec.gpus, spec.ram, spec.spot, spec.types, spec.zone
+
+    def most(self, spec):
+        """At most so many tasks may find room: a cheap question that saves most jobs the dear ones."""
+        if not (spec.one_zone or spec.scatter) and self.needs(spec) in self.full:
+            return 0
+        return self.room.more_within_limit(spec)
+
+    def fill(self, job, count):
+        """Takes room for up to `count` tasks and returns the machines, one a task."""
+        spec, room = job.spec, self.room
+        count = min(count, self.most(spec))
+        if count <= 0:
+            return []
+        zoned = spec.one_zone or spec.scatter
+        zones, known = room.zones_of(job) if zoned else ({}, True)
+        if not known:
+            return []
+        free, fits = room.free, room.fits
+        found = []
+        fitting = [name for name in self.roomy if fits(spec, free[name]) and self.allowed(spec, name)]
+        most = (spec.tasks + 1) // 2
+        for _, name in sorted((self.score(spec, name), name) for name in fitting):
+            zone = room.machines[name].zone
+            while len(found) < count and fits(spec, free[name]):
+                if zoned:
+                    if (spec.one_zone and zones and zone not in zones) or (spec.scatter and zones.get(zone, 0) >= most):
+                        break
+                    zones[zone] = zones.get(zone, 0) + 1
+                room.count(spec, name)
+                found.append(name)
+            if len(found) >= count:
+                break
+        if not zoned and len(found) < count:
+            self.full.add(self.needs(spec))
+        self.taken += [(spec, name) for name in found]
+        return found
+
+    def give(self, spec, name):
+        """Counts a task as gone until `undo`; its zone stays taken until it really is."""
+        self.room.count(spec, name, -1)
+        self.taken.append((spec, name, -1))
+        self.full.clear()
+        if name in self.usable and name not in self.roomy:
+            self.roomy.append(name)
+
+    def forget(self, count):
+        """Takes the last `count` of what `fill` took back at once."""
+        for _ in range(count):
+            spec, name = self.taken.pop()
+            self.room.count(spec, name, -1)
+
+    def undo(self):
+        for row in self.taken:
+            self.room.count(row[0], row[1], -row[2] if len(row) > 2 else -1)
+        self.taken = []
--- a/emberglade/state/__init__.py
+++ b/emberglade/state/__init__.py
@@ -3,4 +3,6 @@
 from .follower import Follower
 from .ledger import LIVE, OVER, Ledger
 
-__all__ = ["LIVE", "OVER", "Follower", "Ledger"]
+DRIFT = 1.001  # steady clocks of two machines, each off by up to 0.05 %
+
+__all__ = ["DRIFT", "LIVE", "OVER", "Follower", "Ledger"]
--- a/emberglade/state/budget.py
+++ b/emberglade/state/budget.py
@@ -1,20 +1,34 @@
-"""A token bucket."""
+"""A token bucket whose rate adapts: a node takes more than its even share while nobody objects."""
+
+GROWTH = 1.1  # a second
+CAUTION = 0.8  # of the whole service's rate; the rest is the others' least
 
 
 class Budget:
-    def __init__(self, rate, burst):
-        self.rate, self.burst = rate, max(burst, 1.0)
+    def __init__(self, rate, nodes, burst):
+        self.share, self.most = rate / nodes, max(rate / nodes, rate * CAUTION)
+        self.rate = self.share
+        self.burst = max(burst, 1.0)
         self.level, self.at = self.burst, None
 
     def _fill(self, now):
         if self.at is not None:
-            self.level = min(self.burst, self.level + (now - self.at) * self.rate)
+            passed = now - self.at
+            self.level = min(max(self.burst, self.rate), self.level + passed * self.rate)
+            self.rate = min(self.most, self.rate * GROWTH ** min(passed, 60.0))
         self.at = now
 
-    def has(self, now, amount):
+    def has(self, now):
+        """Whether something may be sent now; what it takes too much is paid back by waiting."""
         self._fill(now)
-        return self.level >= min(amount, self.burst)
+        return self.level >= 1.0 - 1e-9
 
     def take(self, now, amount):
         self._fill(now)
         self.level -= amount
+
+    def refused(self, now):
+        """The service had too much: back to the even share."""
+        self._fill(now)
+        self.rate = max(self.share, self.rate / 2)
+        self.level = min(self.level, 0.0)
--- a/emberglade/state/follower.py
+++ b/emberglade/state/follower.py
@@ -15,5 +15,5 @@
         """The membership has this process's incarnation."""
         self.incarnation = incarnation
 
-    def on_contact(self, when):
-        """A sync sent at `when` was answered."""
+    def on_contact(self, when, revision):
+        """A sync sent at `when` was answered, and brought the copy to `revision` at least."""
--- a/emberglade/state/ledger.py
+++ b/emberglade/state/ledger.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections import deque
 
 from ..actors import Actor
 from ..transport import NO_ANSWER
@@ -21,23 +22,25 @@
 
 
 class Ledger(Actor):
-    def __init__(self, settings, link, watch_link):
+    def __init__(self, settings, link):
         self.settings = settings
-        self.link, self.watch_link = link, watch_link
+        self.link = link
         self.copy = {}  # key without LIVE -> (data, stamp)
         self.revision = -1  # -1: not read yet
         self.contact = float("-inf")  # when the last sync that was answered was sent
         self.subscribers = []
-        self.syncing = False
+        self.syncs = {}  # syncs on their way: number -> (sent, who waits for it)
+        self.sync_number = 0
         self.sync_sent = float("-inf")
-        self.sync_now, self.sync_next = [], []
-        self.queue = ([], [], [])
+        self.sync_due = False
+        self.sync_next = []
+        self.queue = (deque(), deque(), deque())
         self.flying = 0
-        self.watching = False
         self.pause_until = 0.0
-        share = 1.0 / settings.size
-        self.requests = Budget(settings.state_rps * share, settings.state_rps * share)
-        self.writes = Budget(settings.state_write_rps * share, max(settings.state_write_rps * share, settings.txn_ops))
+        self.requests = Budget(settings.state_rps, settings.size, settings.state_rps / settings.size)
+        self.writes = Budget(settings.state_write_rps, settings.size, settings.state_write_rps / settings.size)
+        # Syncs take at most half of the even share, however many ask; commits have the rest.
+        self.sync_gap = 2.0 * settings.size / settings.state_rps
         # Requests that nobody answered may still hold a thread; bounded in time.
         self.patience = min(settings.lease_s / 4, 3.0)
         self.flight_cap = 6
@@ -78,41 +81,13 @@
         for actor in self.subscribers:
             actor.tell("changed", events, first, True)
         log.info("read %d live keys at revision %d", len(fresh), first)
-        self.watch()
-        if self.sync_next or self.sync_now:
-            self.start_sync()
+        self.soon_sync()
 
     def on_reload(self):
         self.load("", [])
 
     # --- following
 
-    def watch(self):
-        if self.watching or self.revision < 0:
-            return
-        self.watching = True
-        wait = int(self.settings.lease_s * 1000 / 2)
-        self.requests.take(self.now(), 1)
-        self.watch_link.call("GET", wire.follow_path(LIVE, self.revision, wait), None, wait / 1000 + self.patience,
-                             self.then("watched"))
-
-    def on_watched(self, status, body):
-        self.watching = False
-        if self.revision < 0:
-            return
-        news = wire.read_news(body) if status == 200 else None
-        if news is not None:
-            self.apply(*news)
-            self.after(0.1, "rewatch")
-        elif status == 410:
-            self.revision = -1
-            self.load("", [])
-        else:
-            self.after(0.5, "rewatch")
-
-    def on_rewatch(self):
-        self.watch()
-
     def apply(self, events, revision):
         fresh = []
         for key, data, stamp in events:
@@ -135,39 +110,50 @@
     def on_sync(self, reply):
         """`reply(revision)` once the copy shows all changes up to now, `reply(None)` if it can't."""
         self.sync_next.append(reply)
-        if not self.syncing and self.revision >= 0:
-            self.start_sync()
-        elif self.revision < 0 and len(self.sync_next) > 64:
+        if self.revision >= 0:
+            self.soon_sync()
+        elif len(self.sync_next) > 64:
             self.sync_next.pop(0)(None)
 
-    def start_sync(self, idle=False):
-        if self.syncing or not (self.sync_next or self.sync_now or idle):
+    def soon_sync(self):
+        """All who ask within the gap share one request; a slow answer does not hold up the next."""
+        if self.sync_due or len(self.syncs) >= 3:
             return
-        self.syncing = True
+        self.sync_due = True
+        # A second one at once is worth its cost only when the first is slow to be answered.
+        gap = self.sync_gap * (1 + 4 * len(self.syncs))
+        self.after(max(0.0, self.sync_sent + gap - self.now()), "send_sync")
+
+    def on_send_sync(self):
+        self.sync_due = False
+        if self.revision < 0:
+            return
+        self.sync_number += 1
         self.sync_sent = self.now()
-        self.sync_now += self.sync_next
+        self.syncs[self.sync_number] = (self.sync_sent, self.sync_next)
         self.sync_next = []
-        self.send(REPORTS, 0, "GET", wire.follow_path(LIVE, self.revision, 0), None, self.then("synced"))
+        self.send(REPORTS, 0, "GET", wire.follow_path(LIVE, self.revision, 0), None, self.then("synced", self.sync_number))
 
-    def on_synced(self, status, body):
-        self.syncing = False
+    def on_synced(self, number, status, body):
+        sent, waiting = self.syncs.pop(number)
         news = wire.read_news(body) if status == 200 else None
-        waiting, self.sync_now = self.sync_now, []
-        if status == 410:
+        if status == 410 and self.revision >= 0:
             self.revision = -1
-            self.sync_now = waiting
+            self.sync_next = waiting + self.sync_next
             self.load("", [])
             return
-        if news is not None and self.revision >= 0:
+        done = news is not None and self.revision >= 0
+        if done:
             self.apply(*news)
             # Only this shows that the copy is in step; other answers may come while syncs fail.
-            self.contact = self.sync_sent
-            for actor in self.subscribers:
-                actor.tell("contact", self.contact)
+            if sent > self.contact:
+                self.contact = sent
+                for actor in self.subscribers:
+                    actor.tell("contact", sent, self.revision)
         for reply in waiting:
-            reply(self.revision if news is not None and self.revision >= 0 else None)
+            reply(self.revision if done else None)
         if self.sync_next:
-            self.start_sync()
+            self.soon_sync()
 
     # --- single requests
 
@@ -204,34 +190,37 @@
         self.pump()
 
     def on_tick(self):
-        if self.revision >= 0 and not self.syncing and self.now() - self.contact > 1.0 and self.now() - self.sync_sent > 1.0:
-            self.start_sync(idle=True)
+        # Unasked as well, so that what others wrote is soon seen.
+        if self.revision >= 0 and self.now() - self.sync_sent > 2.5 * self.sync_gap:
+            self.soon_sync()
         self.pump()
-        self.after(0.05, "tick")
+        self.after(self.sync_gap, "tick")
 
     def pump(self):
         now = self.now()
-        for rank, line in enumerate(self.queue):
+        for line in self.queue:
             while line and self.flying < self.flight_cap:
                 asked, writes, method, path, body, reply = line[0]
                 if now - asked > self.patience:
-                    line.pop(0)
+                    line.popleft()
                     reply(429, None)
                     continue
-                if now < self.pause_until or not self.requests.has(now, 1) or (writes and not self.writes.has(now, writes)):
+                if now < self.pause_until or not self.requests.has(now):
+                    return
+                if writes and not self.writes.has(now):
                     # What ranks lower waits as well: it would take the budget first.
-                    break
-                line.pop(0)
+                    return
+                line.popleft()
                 self.requests.take(now, 1)
                 self.writes.take(now, writes)
                 self.flying += 1
-                self.link.call(method, path, body, self.patience, self.then("answered", reply))
-            if line and rank < SUBMISSIONS and now < self.pause_until:
-                return
+                self.link.call(method, path, body, self.patience, self.then("answered", writes, reply))
 
-    def on_answered(self, reply, status, body):
+    def on_answered(self, writes, reply, status, body):
         self.flying -= 1
         if status == 429:
-            self.pause_until = self.now() + 0.1
+            now = self.now()
+            self.pause_until = now + self.sync_gap
+            (self.writes if writes else self.requests).refused(now)
         reply(status, body)
         self.pump()
--- a/tests/breakages.py
+++ b/tests/breakages.py
@@ -26,23 +26,18 @@
 
 
 def no_limits(patch):
-    patch.setattr(Room, "within_limit", lambda self, spec: True)
+    patch.setattr(Room, "more_within_limit", lambda self, spec: spec.tasks)
 
 
 def any_zone(patch):
-    original = Room.choose
-
-    def choose(self, job):
-        self.zones = {}
-        return original(self, job)
-    patch.setattr(Room, "choose", choose)
+    patch.setattr(Room, "zones_of", lambda self, job: ({}, True))
 
 
 def deaf_to_cancellations(patch):
     original = Desk.stop_of
 
     def stop_of(self, key, want):
-        if self.jobs[key[0]][1]:
+        if self.jobs[key[0]].withdrawn:
             return 0, 0
         return original(self, key, want)
     patch.setattr(Desk, "stop_of", stop_of)
--- a/tests/stand_ins/cluster.py
+++ b/tests/stand_ins/cluster.py
@@ -48,7 +48,7 @@
 
     def begin(self, name):
         process = SimSystem(self.world, name, self.seed)
-        node = assemble(self.settings(name), Operators(), SimLink(process, "state"), SimLink(process, "state"),
+        node = assemble(self.settings(name), Operators(), SimLink(process, "state"),
                         SimLink(process, "cloud"), {n: SimLink(process, n) for n in self.names if n != name}, SimPool(process))
         for actor, actor_name in node.actors():
             process.spawn(actor, actor_name)
