Exits wait for company, jobs' ends write no parts; the added rules have scenarios

Change: exits are written a report interval later, together; starts, stops and ends at once.

Scenarios: deaf machines, late copies, a lone controller, refused peers, proof without a node, processes back at once, forgotten alone, the large job that starves; each check catches a broken build. Next cause, seen in the log: only 50 machines are rented a round, and the first round comes five seconds late.

--- a/emberglade/fleet/steward.py
+++ b/emberglade/fleet/steward.py
@@ -19,6 +19,9 @@
 
 log = logging.getLogger("emberglade.fleet")
 
+MOST_RENTED = 50  # machines in one request, PROTOCOL's limit
+MOST_RETURNED = 100
+
 
 @dataclass
 class Machine:
@@ -106,7 +109,11 @@
         self.refused = {}
         self.list_found, self.listing = [], False
         self.listed_once = False
-        self.ticks = 0
+        # The first round comes soon: after a take-over or at the very start nothing is on its way.
+        self.ticks = max(0, int(self.operators.cost_round_s) - 3)
+        if not self.types:
+            # Until somebody has, no submission can be judged.
+            self.ask_catalog()
 
     def commit(self, writes, reply):
         self.ledger.tell("commit", DECISIONS, [(LIVE + "lead", self.lead[2])], writes, reply)
@@ -120,8 +127,7 @@
         now = self.now()
         self.ticks += 1
         if now - self.catalog_asked > (30 if self.types else 2):
-            self.catalog_asked = now
-            self.cloud.call("GET", "/catalog", None, 3.0, self.then("catalog"))
+            self.ask_catalog()
         if not self.types:
             return
         if not self.listing and now - self.list_asked > self.settings.list_lag_s / 2:
@@ -147,6 +153,10 @@
         if self.ticks % int(self.operators.cost_round_s) == 0 and self.listed_once:
             self.round(now, total)
 
+    def ask_catalog(self):
+        self.catalog_asked = self.now()
+        self.cloud.call("GET", "/catalog", None, 3.0, self.then("catalog"))
+
     def on_catalog(self, status, body):
         types = wire.read_catalog(body) if status == 200 else None
         if types is None:
@@ -320,8 +330,8 @@
         if not zones:
             return False
         plan = {}
-        for _ in range(min(count, 50)):
-            zone = min(zones, key=lambda z: (here[z], z))
+        for _ in range(min(count, MOST_RENTED * len(zones))):
+            zone = min((z for z in zones if plan.get(z, 0) < MOST_RENTED), key=lambda z: (here[z], z))
             here[zone] += 1
             plan[zone] = plan.get(zone, 0) + 1
         for zone, number in plan.items():
@@ -385,7 +395,7 @@
             elif machine.seen and now - machine.seen > 6 * self.settings.lease_s and mark is None:
                 drain.append(machine.name)
         self.mark(drain, "drain")
-        ready = ready[:100]
+        ready = ready[:MOST_RETURNED]
         if ready:
             self.returning.update(ready)
             log.info("giving %s back to the cloud", ready)
--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -43,10 +43,10 @@
         self.inventory = {}  # machine -> placement.Machine
         self.room = placement.Room(settings.teams)
         self.images = placement.ImageCaches()
-        self.dirty = set()
+        self.dirty = {}  # key -> when it should be written
         self.flight = None
         self.deferred = {}
-        self.flush_soon = self.flush_later = False
+        self.flush_at = float("inf")  # when the next flush is due
         self.most_writes = settings.txn_ops  # of one commit; fewer while the state service refuses
         self.place_due = False
         self.placed_at = float("-inf")
@@ -92,7 +92,7 @@
                 for number, (part, part_stamp) in self.loose_parts.pop(job_id, {}).items():
                     self.merge(job, number, part, part_stamp)
             job.withdrawn = bool(data.get("w"))
-            self.dirty.discard(key)
+            self.dirty.pop(key, None)
             self.merge(job, 0, data.get("p", {}), stamp)
             self.settle(job)
         elif key.startswith("t/"):
@@ -111,7 +111,7 @@
                 self.merge(job, number, {}, stamp)
                 job.parts.pop(number, None)
             elif number not in job.parts or job.parts[number].stamp < stamp:
-                self.dirty.discard(key)
+                self.dirty.pop(key, None)
                 self.merge(job, number, data, stamp)
                 self.settle(job)
         elif key.startswith("s/"):
@@ -265,72 +265,67 @@
 
     def touch(self, job, task, soon=True):
         number = task // job.size
-        self.dirty.add(part_key(job.id, number) if number else job_key(job.id))
-        self.flush_in(soon)
+        self.write_soon(part_key(job.id, number) if number else job_key(job.id), soon)
 
     def settle(self, job):
         """Marks a job for its end when nothing more is to come of it."""
         if job.over() and self.mine(job):
-            self.dirty.add(job_key(job.id))
-            self.flush_in(False)
+            self.write_soon(job_key(job.id), True)
 
-    def flush_in(self, soon):
-        """Exits can wait for company, since each written key counts; starts and stops can't."""
-        if self.flight is not None or self.flush_soon or (self.flush_later and not soon):
-            return
-        if soon:
-            self.flush_soon = True
-            self.after(0.02, "flush")
-        else:
-            self.flush_later = True
-            self.after(self.settings.report_s / 5, "flush")
+    def write_soon(self, key, soon):
+        """Exits wait for company, since each written key counts; starts, stops and ends don't."""
+        now = self.now()
+        due = now + (0.0 if soon else self.settings.report_s)
+        if due < self.dirty.get(key, float("inf")):
+            self.dirty[key] = due
+        self.flush_in(0.02 if soon else self.settings.report_s)
+
+    def flush_in(self, delay):
+        at = self.now() + delay
+        if self.flight is None and at < self.flush_at:
+            self.flush_at = at
+            self.after(delay, "flush")
 
     def on_flush(self):
-        self.flush_soon = self.flush_later = False
+        self.flush_at = float("inf")
         if self.flight is not None or not self.dirty:
             return
+        now = self.now()
         conditions, writes, keys, size = {}, [], {}, 0
         ends = []
-        for key in sorted(self.dirty):
+        for key in sorted((key for key, due in self.dirty.items() if due <= now), key=lambda key: (self.dirty[key], key)):
             job_id = key.split("/")[1]
             job = self.jobs.get(job_id)
             if job is None or not self.mine(job):
-                self.dirty.discard(key)
+                self.dirty.pop(key, None)
                 continue
-            holder = self.holder(job)
             ended = job.over()
+            if ended and key.startswith("t/"):
+                # The end says all that is still of use.
+                self.dirty.pop(key)
+                continue
             if writes and (len(writes) + (2 if ended else 1) > self.most_writes or size > 40_000):
                 break
-            conditions[f"{LIVE}s/{shard_of(job.spec, self.settings.teams, self.shards)}"] = holder[2]
-            if key.startswith("j/"):
-                part = job.part(0)
-                conditions[LIVE + key] = part.stamp
-                if ended and self.other_parts_clean(job):
-                    # The final state outlives the job: polls and retries may come at any time.
-                    end = {"glow": "withdrawn" if job.withdrawn else "done", "n": job.spec.tasks, "d": job.done_count()}
-                    writes += [state_wire.put(OVER + over_key(job_id), end), state_wire.remove(LIVE + key)]
-                    ends.append((job_id, end["glow"]))
-                else:
-                    data = job.encode()
-                    size += 400 + 48 * len(part.bound)
-                    writes.append(state_wire.put(LIVE + key, data))
+            part = job.part(0) if key.startswith("j/") else job.parts[int(key.split("/")[2])]
+            conditions[f"{LIVE}s/{shard_of(job.spec, self.settings.teams, self.shards)}"] = self.holder(job)[2]
+            conditions[LIVE + key] = part.stamp
+            if ended:
+                # The final state outlives the job: polls and retries may come at any time.
+                end = {"glow": "withdrawn" if job.withdrawn else "done", "n": job.spec.tasks, "d": job.done_count()}
+                writes += [state_wire.put(OVER + over_key(job_id), end), state_wire.remove(LIVE + key)]
+                ends.append((job_id, end["glow"]))
             else:
-                number = int(key.split("/")[2])
-                part = job.parts[number]
-                conditions[LIVE + key] = part.stamp
-                size += 48 * len(part.bound)
-                writes.append(state_wire.put(LIVE + key, part.encode()))
+                writes.append(state_wire.put(LIVE + key, job.encode() if key.startswith("j/") else part.encode()))
+                size += 400 + 48 * len(part.bound)
             keys[key] = part
-            self.dirty.discard(key)
+            self.dirty.pop(key)
         if not writes:
+            self.flush_rest()
             return
         self.flight = keys
         self.deferred = {key: [] for key in keys}
         self.ledger.tell("commit", DECISIONS, list(conditions.items()), writes, self.then("flushed", ends))
 
-    def other_parts_clean(self, job):
-        return not any(part_key(job.id, number) in self.dirty for number in job.parts if number)
-
     def on_flushed(self, ends, status, revision, failed):
         if status == 200 and revision is not None:
             self.most_writes = min(self.settings.txn_ops, 2 * self.most_writes)
@@ -352,10 +347,10 @@
             if status == 429:
                 self.most_writes = max(1, self.most_writes // 2)
             keys, self.flight = self.flight, None
-            self.dirty.update(keys)
+            now = self.now()
+            self.dirty.update(dict.fromkeys(keys, now))
             self.absorb_deferred(-1)
-            self.flush_soon = True
-            self.after(0.2, "flush")
+            self.flush_in(self.settings.report_s / 8)
             return
         else:
             log.info("a commit of %d keys got %s (%s); they are read again", len(self.flight),
@@ -363,10 +358,13 @@
             self.ledger.tell("sync", self.then("resync"))
             return
         self.drop_remains()
-        if self.dirty:
-            self.flush_in(True)
+        self.flush_rest()
         self.soon_place()
 
+    def flush_rest(self):
+        if self.dirty:
+            self.flush_in(max(0.02, min(self.dirty.values()) - self.now()))
+
     def absorb_deferred(self, revision):
         deferred, self.deferred = self.deferred, {}
         for events in deferred.values():
@@ -388,7 +386,7 @@
         self.deferred = {}
         for key, part in keys.items():
             # Forget the wish: the view falls back to what is committed.
-            self.dirty.discard(key)
+            self.dirty.pop(key, None)
             part.stamp = -1
             if found[key] is None and key.startswith("t/"):
                 job, number = self.jobs.get(key.split("/")[1]), int(key.split("/")[2])
@@ -397,8 +395,7 @@
             else:
                 self.absorb(key, *(found[key] or (None, 0)))
         self.soon_place()
-        if self.dirty:
-            self.flush_in(True)
+        self.flush_rest()
 
     def drop_remains(self):
         """Removes the further parts of jobs that are over, a few at a time."""
--- a/tests/breakages.py
+++ b/tests/breakages.py
@@ -63,3 +63,35 @@
 
 def starts_nothing(patch):
     patch.setattr(Keeper, "on_place", lambda self: None)
+
+
+def never_starving(patch):
+    """What has waited for long gets no turn of its own."""
+    patch.setattr(Keeper, "starves", lambda self, job, wall: False)
+
+
+def deaf_to_polls(patch):
+    """Questions about one job are never answered."""
+    original = Door.look_up
+
+    def look_up(self, job_id, reply):
+        if job_id != "job-1":
+            original(self, job_id, reply)
+    patch.setattr(Door, "look_up", look_up)
+
+
+def copies_are_signs_of_life(patch):
+    """A machine whose copies still come is never proven lost."""
+    original = Desk.on_beat
+
+    def on_beat(self, data, reply):
+        if isinstance(data, dict):
+            self.sightings.view.pop(data.get("hearth"), None)
+            self.known.pop(data.get("hearth"), None)
+        original(self, data, reply)
+    patch.setattr(Desk, "on_beat", on_beat)
+
+
+def blind_to_the_deaf(patch):
+    """A machine that does not hear us counts as a good one."""
+    patch.setattr(Desk, "listen", lambda self, known, report, sighting, now: None)
--- a/tests/stand_ins/faults.py
+++ b/tests/stand_ins/faults.py
@@ -20,6 +20,7 @@
         if rng.random() < 0.35:
             world.at(at + rng.uniform(0, 60), cluster.abort, job_id)
     world.repeat, world.loss = 0.01, 0.003
+    world.copies = ("/agent/beat", 0.02, 1.0, 40.0, cluster.names)
     for _ in range(faults):
         world.at(rng.uniform(15, until * 0.75), strike, cluster)
 
@@ -30,9 +31,9 @@
     machines = [m.name for m in cloud.machines.values() if m.up]
     seconds, mode = rng.uniform(5, 60), rng.choice(["hold", "lose"])
     everyone = [*cluster.names, "state", "cloud", "user", *cloud.machines]
-    kind = rng.randrange(10)
+    kind = rng.randrange(13)
     if kind == 0:
-        cluster.crash(node, rng.choice([0.3, 3.0]))
+        cluster.crash(node, rng.choice([0.05, 0.3, 3.0]))
     elif kind == 1:
         for name in cluster.names:
             cluster.crash(name, rng.uniform(0.3, 4))
@@ -52,3 +53,11 @@
         cloud.take_back(rng.random(), rng.choice([0.0, 5.0]))
     elif kind == 9:
         cloud.down_until = world.now + seconds
+    elif kind == 10 and machines:
+        # Reports arrive; answers and commands don't.
+        world.mute(cluster.names, rng.sample(machines, min(2, len(machines))), seconds)
+    elif kind == 11:
+        world.cut([node], ["state", *(n for n in cluster.names if n != node)], seconds, mode)
+    elif kind == 12:
+        for _ in range(3):
+            world.at(rng.uniform(0, 5), cluster.crash, rng.choice(cluster.names), rng.choice([0.05, 0.2, 0.5]))
--- a/tests/stand_ins/observer.py
+++ b/tests/stand_ins/observer.py
@@ -14,6 +14,9 @@
         self.starts = 0
         self.broken = []
         self.failing = {}  # job -> polls have failed since
+        self.quiet_since = None  # when the last trouble was over, once that is known
+        self.begun = {}  # job -> when its first task started
+        self.submitted = {}
         self.polls = []  # (when, answered) of the last 90 s
         world.at(1.0, self.sweep)
 
@@ -32,6 +35,7 @@
         job_id, _, number = name.rpartition("/")
         job = self.jobs[job_id]
         self.starts += 1
+        self.begun.setdefault(job_id, self.world.now)
         here = self.on.setdefault(name, {})
         if here:
             self.breach("ran_twice", f"{name} starts on {worker.name} while on {sorted(here)}")
@@ -72,8 +76,30 @@
         for job_id, since in self.failing.items():
             if self.world.now - since > 90 and sum(ok for _, ok in self.polls) > len(self.polls) / 2:
                 self.breach("forgotten", f"polls for {job_id} fail since {since:.0f}")
+            # Once all troubles are over, a job stays known however others fare.
+            if self.quiet_since is not None and self.world.now - max(since, self.quiet_since) > 75:
+                self.breach("forgotten", f"no question about {job_id} is answered since {since:.0f}")
         self.world.at(1.0, self.sweep)
 
+    def served(self):
+        """What of each class, team and of each class's largest jobs began (the largest: in four minutes)."""
+        groups = {}
+        for job_id in self.accepted:
+            job = self.jobs[job_id]
+            if job_id in self.asked_abort:
+                continue
+            groups.setdefault(("class", job["breed"]), []).append(job_id in self.begun)
+            groups.setdefault(("team", job["crew"]), []).append(job_id in self.begun)
+        for breed in {name for kind, name in groups if kind == "class"}:
+            own = sorted((j for j in self.accepted if self.jobs[j]["breed"] == breed and j not in self.asked_abort),
+                         key=lambda j: -self.jobs[j]["embers"])
+            for job_id in own[:max(1, len(own) // 10)]:
+                waited = self.begun.get(job_id, self.world.now) - self.accepted[job_id]
+                if waited <= 240 and job_id not in self.begun:
+                    continue  # its time is not up yet
+                groups.setdefault(("largest", breed), []).append(waited <= 240)
+        return {group: sum(rows) / len(rows) for group, rows in groups.items()}
+
     # --- users
 
     def told(self, job_id, asked, status, body):
--- a/tests/stand_ins/world.py
+++ b/tests/stand_ins/world.py
@@ -17,7 +17,9 @@
         self.order = itertools.count()
         self.hosts = {}  # name -> handler(method, path, body, source, reply) or None while down
         self.cuts = []  # [first set of hosts, second set, until, mode]
+        self.mutes = []  # [from these hosts, to those, until]: lost in this direction alone
         self.repeat = 0.0  # chance that a request arrives a second time, late
+        self.copies = None  # (path, chance, least delay, most delay, hosts): copies that come late, to any of them
         self.loss = 0.0  # chance that a message is lost
 
     def at(self, delay, action, *args):
@@ -34,6 +36,9 @@
     def cut(self, first, second, seconds, mode):
         self.cuts.append((set(first), set(second), self.now + seconds, mode))
 
+    def mute(self, sources, targets, seconds):
+        self.mutes.append((set(sources), set(targets), self.now + seconds))
+
     def blocked(self, source, target):
         for first, second, until, mode in self.cuts:
             if until > self.now and ((source in first and target in second) or (source in second and target in first)):
@@ -44,6 +49,8 @@
         """Delivers after a delay; behind a cut late ('hold') or never ('lose')."""
         delay = 0.001 + self.random.random() * 0.004
         cut = self.blocked(source, target)
+        if any(source in sources and target in targets and until > self.now for sources, targets, until in self.mutes):
+            return
         if cut is not None:
             if cut[1] == "lose":
                 return
@@ -74,6 +81,10 @@
         self.carry(source, target, lambda: arrive(answer))
         if self.random.random() < self.repeat:
             self.at(self.random.uniform(1, 40), lambda: arrive(lambda *_: None))
+        if self.copies is not None and path == self.copies[0] and self.random.random() < self.copies[1]:
+            host = self.random.choice(self.copies[4])
+            self.at(self.random.uniform(*self.copies[2:4]), lambda: (self.hosts.get(host) or (lambda *_: None))(
+                method, path, payload, source, lambda *_: None))
         self.at(timeout, finish, NO_ANSWER, None)
 
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -97,6 +97,26 @@
         everyone = [*self.cluster.names, "state", "cloud", "user", *self.cluster.cloud.machines]
         self.cluster.world.cut([node], [n for n in everyone if n != node], float(seconds), mode)
 
+    def do_deaf(self, machine, seconds):
+        """The machine's reports arrive; answers and commands don't reach it."""
+        self.cluster.world.mute(self.cluster.names, [machine], float(seconds))
+
+    def do_lone(self, node, seconds, mode):
+        """A controller loses the state service and the other controllers, but not its workers."""
+        self.cluster.world.cut([node], ["state", *(n for n in self.cluster.names if n != node)], float(seconds), mode)
+
+    def do_peers_refuse(self, seconds):
+        for name in self.cluster.names:
+            self.cluster.world.cut([name], [n for n in self.cluster.names if n != name], float(seconds), "lose")
+
+    def do_copies(self, chance, least, most):
+        """Copies of reports come late, to any node."""
+        self.cluster.world.copies = ("/agent/beat", float(chance), float(least), float(most), self.cluster.names)
+
+    def do_quiet(self):
+        """All troubles are over."""
+        self.cluster.observer.quiet_since = self.cluster.world.now
+
     def do_refuse(self, node, seconds):
         self.cluster.state.refused[node] = self.cluster.world.now + float(seconds)
 
@@ -140,12 +160,28 @@
     def expect_state(self, job_id, state):
         assert self.cluster.observer.final.get(job_id, [None])[0] == state
 
+    def expect_unfinished(self, job_id):
+        """For broken builds: the job is not over by now."""
+        assert job_id in self.cluster.observer.accepted and job_id not in self.cluster.observer.final
+
     def expect_running(self, job_id, count, where=None):
         on = [m for name, places in self.cluster.observer.on.items() if name.rpartition("/")[0] == job_id for m in places]
         assert len(on) == int(count), on
         if where is not None:
             assert all(self.cluster.cloud.machines[m].zone == where or m == where for m in on), on
 
+    def expect_served(self):
+        served = self.cluster.observer.served()
+        assert served and min(served.values()) >= 0.5, served
+
+    def expect_starved(self):
+        """For broken builds: some class, team or class's largest jobs are not served."""
+        assert min(self.cluster.observer.served().values()) < 0.5, self.cluster.observer.served()
+
+    def expect_begun(self, job_id, seconds):
+        observer = self.cluster.observer
+        assert job_id in observer.begun and observer.begun[job_id] - observer.accepted[job_id] <= float(seconds), observer.begun.get(job_id)
+
     def expect_starts(self, least, most):
         assert int(least) <= self.cluster.observer.starts <= int(most), self.cluster.observer.starts
 
@@ -157,6 +193,9 @@
     def expect_listed(self, machine):
         assert self.cluster.cloud.machines[machine].listed
 
+    def expect_returned(self, machine):
+        assert not self.cluster.cloud.machines[machine].listed
+
     def expect_machines(self, least, most):
         count = sum(m.listed for m in self.cluster.cloud.machines.values())
         assert int(least) <= count <= int(most), count
