--- a/emberglade/agents/desk.py
+++ b/emberglade/agents/desk.py
@@ -358,7 +358,12 @@
         machines = {}
         for job_id, task, attempt, machine, session in fresh:
             entry = self.jobs.get(job_id)
-            if entry is not None and not entry.withdrawn and self.holder_of(entry.spec) == self.settings.node:
+            # Once broken: the binding and its stop came in one change, and the start went out all the
+            # same, with a token above the stop's (rules/stopped_in_one_change.txt).
+            want = self.bound.get(machine, {}).get((job_id, task))
+            if want is None or want[0] != attempt or want[1] != KEEP or want[3] != session:
+                continue
+            if not entry.withdrawn and self.holder_of(entry.spec) == self.settings.node:
                 machines.setdefault((machine, session), []).append(wire.start(task_name(job_id, task), attempt))
         now = self.now()
         for (machine, session), commands in machines.items():
@@ -552,7 +557,7 @@
         result = {}
         # Tables are older than what a peer would answer; that is not the machines' silence.
         slack = TABLE_S if self.sightings.missing_peers(now) else 0.0
-        for name in set(self.sightings.view) | set(self.bound) | set(self.marks):
+        for name in sorted(set(self.sightings.view) | set(self.bound) | set(self.marks)):
             sighting, known, mark = self.sightings.view.get(name), self.known.get(name), self.marks.get(name)
             own = max(known.heard, known.answered) if known else self.born
             heard = min(now, slack + (sighting.heard if sighting is not None else self.born))
--- a/emberglade/agents/sightings.py
+++ b/emberglade/agents/sightings.py
@@ -125,16 +125,18 @@
         longer than `blind_s` (docs/safety.md, 7).
         """
         limit = self.settings.lease_s * DRIFT + MARGIN_S
-        last, earliest = own_heard, now
+        last, covered = own_heard, now
         for peer in self.settings.peers:
-            made = [s for s in (self.told.get(peer.name), self.written.get(peer.name))
+            # (the latest moment at which this node may have answered, up to when that is known)
+            said = [(s.last_heard(machine), s.asked) for s in (self.told.get(peer.name), self.written.get(peer.name))
                     if s is not None and s.revision is not None and s.revision >= mark_stamp]
             gone = self.absent.get(peer.name)
-            if gone is not None and self.contact > max(gone, mark_seen) + self.settings.blind_s * DRIFT + limit:
-                continue
-            if not made:
+            if gone is not None:
+                # Once broken: this node was left out of the account, though a worker that it had
+                # kept alive could go to a node whose statement was older (rules/fence.txt).
+                said.append((max(gone, mark_seen) + self.settings.blind_s * DRIFT, self.contact))
+            if not said:
                 return False
-            newest = max(made, key=lambda s: s.asked)
-            last = max(last, newest.last_heard(machine))
-            earliest = min(earliest, newest.asked)
-        return last + limit < earliest
+            its_last, its_covered = max(said, key=lambda pair: pair[1] - pair[0])
+            last, covered = max(last, its_last), min(covered, its_covered)
+        return last + limit < covered
