A commit without an answer is fenced; machines that hold a few replicas are emptied

Change: above the target, a machine whose few replicas find room with their image elsewhere is drained, one replica in 3000 a second at most.

--- a/emberglade/fleet/steward.py
+++ b/emberglade/fleet/steward.py
@@ -21,6 +21,7 @@
 
 MOST_RENTED = 50  # machines in one request, PROTOCOL's limit
 MOST_RETURNED = 100
+MOVED_SHARE = 1 / 3000  # of all replicas a second: with a second or two each, a loss of about 0.0005
 
 
 @dataclass
@@ -109,6 +110,7 @@
         self.refused = {}
         self.list_found, self.listing = [], False
         self.listed_once = False
+        self.moves = 0.0  # replicas that may be moved by now
         # The first round comes soon: after a take-over or at the very start nothing is on its way.
         self.ticks = max(0, int(self.operators.cost_round_s) - 3)
         if not self.types:
@@ -286,6 +288,7 @@
             self.targets[pool] = target
         for name, machine_type in self.types.items():
             self.balance(now, name, machine_type)
+            self.consolidate(name)
         self.tidy(now)
 
     def balance(self, now, name, machine_type):
@@ -320,6 +323,33 @@
             log.info("returning %s: idle for %g s above the target", [m.name for m in chosen], hold)
             self.mark([m.name for m in chosen], "drain")
 
+    def consolidate(self, name):
+        """Empties a machine above the target that holds but a few replicas.
+
+        Replicas outlive all other work and end one by one, so machines stay that are mostly empty. A
+        move costs a replica a second or two, so few are moved, and only to where their image is.
+        """
+        there = [m for m in self.machines.values() if m.type == name and self.counted(m)]
+        ordinary, spot = sum(not m.spot for m in there), sum(m.spot for m in there)
+        short = self.targets.get((name, True), 0) - spot
+        surplus = ordinary - self.targets.get((name, False), 0) - max(0, short)
+        idle = sum(m.idle_since is not None and not m.spot for m in there)
+        self.keeper.tell("replicas", self.then("replicas"))
+        if surplus > idle and self.moves >= 1 and self.types[name].boot_s < self.now() - self.since:
+            self.keeper.tell("thin_machine", name, int(self.moves), self.then("thin"))
+
+    def on_replicas(self, total):
+        """Grants moves for one round."""
+        self.moves = min(self.moves + MOVED_SHARE * total * self.operators.cost_round_s, max(1.0, MOVED_SHARE * total * 60))
+
+    def on_thin(self, machine, count):
+        if machine is None:
+            return
+        if self.leading and machine in self.machines:
+            self.moves -= count
+            log.info("draining %s: above the target, and its %d replicas find room elsewhere", machine, count)
+            self.mark([machine], "drain")
+
     def rent(self, now, machine_type, spot, count):
         """Asks for machines in the zone that has fewest; False when every zone refused lately."""
         here = dict.fromkeys(machine_type.zones, 0)
--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -45,7 +45,8 @@
         self.images = placement.ImageCaches()
         self.spare = set()  # machines that the work at hand does not need
         self.dirty = {}  # key -> when it should be written
-        self.flight = None
+        self.flight = None  # keys of the commit on its way
+        self.flight_shards = set()
         self.deferred = {}
         self.flush_at = float("inf")  # when the next flush is due
         self.most_writes = settings.txn_ops  # of one commit; fewer while the state service refuses
@@ -325,6 +326,7 @@
             self.flush_rest()
             return
         self.flight = keys
+        self.flight_shards = {int(key.rpartition("/")[2]) for key in conditions if key.startswith(LIVE + "s/")}
         self.deferred = {key: [] for key in keys}
         self.ledger.tell("commit", DECISIONS, list(conditions.items()), writes, self.then("flushed", ends))
 
@@ -357,7 +359,10 @@
         else:
             log.info("a commit of %d keys got %s (%s); they are read again", len(self.flight),
                      "no answer" if status == NO_ANSWER else status, failed)
-            self.ledger.tell("sync", self.then("resync"))
+            if status == 409:
+                self.ledger.tell("sync", self.then("resync"))
+            else:
+                self.on_fence_flight()
             return
         self.drop_remains()
         self.flush_rest()
@@ -374,6 +379,29 @@
                 if event[2] > revision:
                     self.absorb(*event)
 
+    def on_fence_flight(self):
+        """Makes sure that a commit of unknown outcome is either applied by now or never will be.
+
+        Once broken: it was applied late, when the room and the limit that it counted on had been
+        given to others (rules/late_commit.txt). All that it hangs on are the epochs of its shards, so
+        these are written anew.
+        """
+        epochs = {(shard, holder[2]) for shard, holder in self.holders.items()
+                  if shard in self.flight_shards and holder[:2] == (self.settings.node, self.incarnation)}
+        if not epochs:
+            self.ledger.tell("sync", self.then("resync"))
+            return
+        self.ledger.tell("commit", DECISIONS, [(f"{LIVE}s/{shard}", stamp) for shard, stamp in sorted(epochs)],
+                         [state_wire.put(f"{LIVE}s/{shard}", {"node": self.settings.node, "inc": self.incarnation})
+                          for shard, _ in sorted(epochs)], self.then("fenced_flight"))
+
+    def on_fenced_flight(self, status, revision, failed):
+        if status in (200, 409):
+            # With 409 the epochs are others' already, or ours from a try that got no answer.
+            self.ledger.tell("sync", self.then("resync"))
+        else:
+            self.after(self.settings.report_s / 3, "fence_flight")
+
     def on_resync(self, revision):
         if revision is None:
             self.after(0.5, "retry_sync")
@@ -457,6 +485,13 @@
             {name for name, machine in self.inventory.items()
              if name not in self.marks and self.suspects.get(name, (0, 0))[0] <= now and machine.open},
             self.images, self.spare)
+        try:
+            self.play(now, waiting, turn)
+        finally:
+            turn.undo()
+
+    def play(self, now, waiting, turn):
+        """One round: takes room for everybody's waiting tasks in order, and binds its own."""
         wall = self.system.wall()
         starving = {job.id for job in waiting if self.starves(job, wall)}
         waiting.sort(key=lambda job: (job.id not in starving, placement.order(job.spec, self.settings.objectives, wall)))
@@ -499,7 +534,6 @@
             log.info("placing %d tasks of %s after %.1f s on %s%s", len(found), job.id, wall - job.spec.submitted,
                      " ".join(sorted(set(found))), f", image {job.spec.image} not cached for {missing}" if missing else "")
         self.preempt(now, waiting, turn)
-        turn.undo()
         self.placed_at = self.now() + 3 * (self.now() - now)
 
     def starves(self, job, wall):
@@ -595,3 +629,33 @@
     def on_occupied(self, reply):
         """`reply(machines that any bound task names)`."""
         reply(set(self.room.on))
+
+    def on_replicas(self, reply):
+        reply(sum(self.room.replicas.values()))
+
+    def on_thin_machine(self, type_name, most, reply):
+        """`reply(machine, count)`: one that only holds up to `most` replicas, all of which would find
+        room with their image on other machines in use; `reply(None, 0)` if there is none."""
+        replicas = self.room.replicas
+        rows = []
+        for name, machine in self.inventory.items():
+            on = self.room.on.get(name, {})
+            if (machine.type.name == type_name and not machine.spot and machine.open and name not in self.marks
+                    and 0 < len(on) <= most and all(job.spec.service and not bound.stop and not job.withdrawn
+                                                    for job, bound in on.values())):
+                rows.append((len(on), name))
+        usable = {name for name, machine in self.inventory.items()
+                  if machine.open and name not in self.marks and replicas.get(name)}
+        for count, name in sorted(rows)[:8]:
+            turn = placement.Round(self.room, usable - {name}, self.images)
+            fits = True
+            for job, _ in self.room.on[name].values():
+                found = turn.fill(job, 1)
+                if not found or not self.images.has(found[0], job.spec.image):
+                    fits = False
+                    break
+            turn.undo()
+            if fits:
+                reply(name, count)
+                return
+        reply(None, 0)
