--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -53,6 +53,7 @@
         self.place_due = False
         self.placed_at = float("-inf")
         self.preempted_at = float("-inf")
+        self.guaranteed = set()  # jobs within their team's guarantee, as of the last round
         self.suspects = {}  # machine -> (until, errors)
         self.errors = {}  # job -> machines on which a task of it ended in error
         self.loaded = False
@@ -494,7 +495,10 @@
         """One round: takes room for everybody's waiting tasks in order, and binds its own."""
         wall = self.system.wall()
         starving = {job.id for job in waiting if self.starves(job, wall)}
-        waiting.sort(key=lambda job: (job.id not in starving, placement.order(job.spec, self.settings.objectives, wall)))
+        # Work within its team's guarantee is not to wait for what others run beyond theirs.
+        self.guaranteed = placement.preempt.guaranteed((job for job in self.jobs.values() if not job.withdrawn), self.settings.teams)
+        waiting.sort(key=lambda job: (job.id not in starving, job.spec.rank > 0, job.id not in self.guaranteed,
+                                      placement.order(job.spec, self.settings.objectives, wall)))
         budget = self.settings.txn_ops * 4 * self.size
         spare = placement.headroom(self.jobs.values(), self.settings.objectives, self.types, wall)
         for job in waiting:
@@ -550,6 +554,8 @@
         age = self.system.wall() - spec.submitted
         if spec.service:
             return age > 2 * self.settings.report_s / 10
+        if job.id in self.guaranteed and age > self.settings.report_s:
+            return True
         if spec.deadline_s is not None:
             return spec.deadline_s - age < spec.estimate_s * 1.5 + self.settings.lease_s
         return spec.rank < 2 and age > self.settings.lease_s
--- a/emberglade/placement/preempt.py
+++ b/emberglade/placement/preempt.py
@@ -9,6 +9,23 @@
 from .types import SLACK
 
 
+def guaranteed(jobs, teams):
+    """The jobs that fit into their team's guarantee together with the team's earlier ones."""
+    used, found = {}, set()
+    for job in sorted(jobs, key=lambda job: (job.spec.submitted, job.id)):
+        spec = job.spec
+        team = teams.get(spec.team)
+        if team is None or not (team.cpus or team.gpus):
+            continue
+        left = spec.tasks - job.done_count()
+        use = used.setdefault(spec.team, [0.0, 0.0])
+        use[0] += left * spec.cpus
+        use[1] += left * spec.gpus
+        if use[0] <= team.cpus + SLACK and (use[1] <= team.gpus + SLACK or not spec.gpus):
+            found.add(job.id)
+    return found
+
+
 def cost(spec, fresh):
     """Order of victims: the lowest rank first, work that saves itself first, fresh starts last."""
     return -spec.rank, spec.checkpoint_s <= 0, fresh
