Stops go directly to the machine as starts do

Cause: a move or a preemption waited for the next report (0.75 s), then for the one after the exit. Change: the holder's node sends halts to /commands; the answer holds the exit already. Where the time goes is logged once a minute, and machines that begin to report are told in one line.

--- a/emberglade/actors.py
+++ b/emberglade/actors.py
@@ -49,6 +49,7 @@
         self.random = random.Random(seed)
         self.now = time.monotonic
         self.wall = time.time
+        self.busy = {}  # actor's name -> [seconds in its messages, messages]
 
     def spawn(self, actor, name):
         actor.system = self
@@ -56,9 +57,17 @@
         actor._post = lambda delay, message, args: mailbox.put(
             (self.now() + delay if delay > 0 else 0.0, message, args))
         actor.tell("begin")
-        threading.Thread(target=self._run, args=(actor, mailbox), name=name, daemon=True).start()
+        account = self.busy[name] = [0.0, 0]
+        threading.Thread(target=self._run, args=(actor, mailbox, account), name=name, daemon=True).start()
 
-    def _run(self, actor, mailbox):
+    def take_account(self):
+        """{actor: (seconds in its messages, messages)} since the last call."""
+        taken = {name: tuple(account) for name, account in self.busy.items()}
+        for account in self.busy.values():
+            account[:] = [0.0, 0]
+        return taken
+
+    def _run(self, actor, mailbox, account):
         timers, order = [], itertools.count()
         while True:
             wait = None
@@ -66,7 +75,7 @@
                 wait = timers[0][0] - self.now()
                 if wait <= 0:
                     _, _, message, args = heapq.heappop(timers)
-                    self._deliver(actor, message, args)
+                    self._deliver(actor, message, args, account)
                     # Mail is not starved by timers that are always due.
                     wait = 0
             try:
@@ -76,12 +85,15 @@
             if due:
                 heapq.heappush(timers, (due, next(order), message, args))
             else:
-                self._deliver(actor, message, args)
+                self._deliver(actor, message, args, account)
 
     @staticmethod
-    def _deliver(actor, message, args):
+    def _deliver(actor, message, args, account):
+        begun = time.perf_counter()
         try:
             actor.receive(message, args)
         except Exception:
             # One bad message must not end the controller; its sender repeats what matters.
             log.exception("message %s to %s failed; it is dropped", message, type(actor).__name__)
+        account[0] += time.perf_counter() - begun
+        account[1] += 1
--- a/emberglade/agents/desk.py
+++ b/emberglade/agents/desk.py
@@ -53,7 +53,7 @@
         self.jobs = {}  # job -> Entry
         self.bound = {}  # machine -> {(job, task): (attempt, stop, revision at which the stop was seen, session)}
         self.touched = set()  # machines whose bindings or mark changed since their last report here
-        self.fresh = []  # bindings that came with the change at hand
+        self.fresh = []  # bindings and stops that came with the change at hand
         self.loose = {}
         self.marks = {}  # machine -> (mark, stamp, when it was seen here)
         self.holders = {}
@@ -71,6 +71,7 @@
         self.waited = 0
         self.inventory_due = False
         self.inventory = {}
+        self.newcomers = []
 
     def on_begin(self):
         self.born = self.now()
@@ -100,7 +101,7 @@
             self.read_table(node)
         fresh, self.fresh = self.fresh, []
         if not whole:
-            self.start_directly(fresh)
+            self.command_directly(fresh)
 
     def absorb(self, key, data, stamp, tables):
         if key.startswith("j/"):
@@ -176,12 +177,12 @@
                 if task in new and new[task][0] == row[0]:
                     # The same attempt: a stop counts from when it was first seen.
                     self.hold(job_id, task, new[task], before[2] if before[1] else stamp)
+                    self.fresh.append((job_id, task, *new[task][:3]))
         for task, row in new.items():
             before = old.get(task)
             if before is None or before[0] != row[0]:
                 self.hold(job_id, task, row, stamp)
-                if len(row) < 4:
-                    self.fresh.append((job_id, task, *row))
+                self.fresh.append((job_id, task, *row[:3]))
         entry.parts[number] = new
 
     def hold(self, job_id, task, row, since):
@@ -223,7 +224,7 @@
         known.heard = known.answered = now
         self.sightings.view[name] = self.sighting(known)
         if fresh:
-            log.info("%s (%s in %s, %s) reports here", name, report.type, report.zone, "spot" if report.spot else "ordinary")
+            self.newcomers.append(name)
             self.soon_inventory()
         if (known.quiet and known.tasks is not None and name not in self.touched and report.raw == before.raw
                 and report.session == before.session and report.notice_s is None and not known.deaf):
@@ -309,7 +310,7 @@
                 stop, since = self.stop_of(key, want)
                 if stop != KEEP:
                     token = max(token, since)
-                    grace = self.jobs[key[0]].spec.save_s * 1.5 + 1 if stop == SAVE else 0
+                    grace = self.grace(self.jobs[key[0]], stop)
                     if seen.state != "saving" or stop != SAVE:
                         commands.append(wire.halt(name, seen.attempt, grace))
             elif not synced:
@@ -340,6 +341,10 @@
                 commands.append(wire.start(task_name(*key), want[0]))
         return token, commands, more
 
+    @staticmethod
+    def grace(entry, stop):
+        return entry.spec.save_s * 1.5 + 1 if stop == SAVE else 0
+
     def stop_of(self, key, want):
         entry = self.jobs[key[0]]
         if entry.withdrawn:
@@ -348,12 +353,14 @@
 
     # --- direct commands
 
-    def start_directly(self, fresh):
-        """Starts what was just bound without waiting for the machine's next report.
+    def command_directly(self, fresh):
+        """Starts what was just bound, and stops what is to make room, without waiting for the
+        machine's next report.
 
         The token is the revision of the copy that shows the binding. Whatever ends the binding is
         committed later and fenced with that later revision, or ends the session named here; so
-        however late this arrives, it can't act after either (docs/safety.md, 6).
+        however late a start arrives, it can't act after either (docs/safety.md, 6). A stop is of an
+        attempt that is never started again, so it does no harm at any time.
         """
         machines = {}
         for job_id, task, attempt, machine, session in fresh:
@@ -361,17 +368,21 @@
             # Once broken: the binding and its stop came in one change, and the start went out all the
             # same, with a token above the stop's (rules/stopped_in_one_change.txt).
             want = self.bound.get(machine, {}).get((job_id, task))
-            if want is None or want[0] != attempt or want[1] != KEEP or want[3] != session:
+            if want is None or want[0] != attempt or want[3] != session or entry.withdrawn \
+                    or self.holder_of(entry.spec) != self.settings.node:
                 continue
-            if not entry.withdrawn and self.holder_of(entry.spec) == self.settings.node:
-                machines.setdefault((machine, session), []).append(wire.start(task_name(job_id, task), attempt))
+            name = task_name(job_id, task)
+            machines.setdefault((machine, session), []).append(
+                wire.start(name, attempt) if want[1] == KEEP else wire.halt(name, attempt, self.grace(entry, want[1])))
         now = self.now()
         for (machine, session), commands in machines.items():
             sighting = self.sightings.view.get(machine)
-            if sighting is None or machine in self.marks:
+            if sighting is None:
                 continue
             row = sighting.row
-            if not row.addr or row.session != session or row.notice or row.deaf or now - sighting.heard > self.settings.lease_s / 2:
+            if machine in self.marks or row.notice:
+                commands = [command for command in commands if wire.is_halt(command)]
+            if not commands or not row.addr or row.session != session or row.deaf or now - sighting.heard > self.settings.lease_s / 2:
                 continue
             self.workers.call(row.addr, "POST", "/commands", wire.orders(self.revision, session, commands),
                               self.settings.report_s, self.then("ordered", machine))
@@ -528,6 +539,11 @@
 
     def on_inventory(self):
         self.inventory_due = False
+        if self.newcomers:
+            # After a restart hundreds come at once: one line for all.
+            log.info("%d machines begin to report here: %s%s", len(self.newcomers), " ".join(self.newcomers[:8]),
+                     " and others" if len(self.newcomers) > 8 else "")
+            self.newcomers = []
         self.tell_inventory()
 
     def tell_inventory(self):
--- a/emberglade/agents/wire.py
+++ b/emberglade/agents/wire.py
@@ -84,6 +84,10 @@
     return {"blast": "halt", "ember": name, "strike": attempt, "smother_s": grace_s}
 
 
+def is_halt(command):
+    return command["blast"] == "halt"
+
+
 def clear(name, attempt):
     return {"blast": "clear", "ember": name, "strike": attempt}
 
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+import time
 from dataclasses import dataclass
 
 import orjson
@@ -60,6 +61,17 @@
     return Node(ledger, keeper, member, desk, steward, door)
 
 
+def tell_accounts(system, interval=60.0):
+    """Says now and then where the time goes, actor by actor."""
+    spent = time.process_time()
+    while True:
+        time.sleep(interval)
+        before, spent = spent, time.process_time()
+        log.info("processor %.1f %%; in actors, waits included: %s", 100 * (spent - before) / interval,
+                 ", ".join(f"{name} {100 * busy / interval:.1f} % for {count} messages"
+                           for name, (busy, count) in system.take_account().items()))
+
+
 def serve(settings, operators):
     threading.stack_size(256 * 1024)
     system = ThreadSystem()
@@ -74,6 +86,7 @@
     for actor, name in node.actors():
         system.spawn(actor, name)
     internal.begin("internal")
+    threading.Thread(target=tell_accounts, args=(system,), name="accounts", daemon=True).start()
     log.info("%s serves users and workers at %s:%d", settings.node, *settings.front)
     front.serve_forever(poll_interval=3600)
     return 0
