--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -50,6 +50,8 @@
         self.deferred = {}
         self.flush_at = float("inf")  # when the next flush is due
         self.most_writes = settings.txn_ops  # of one commit; fewer while the state service refuses
+        self.write_share = settings.state_write_rps / settings.size
+        self.written, self.written_at = 0.0, 0.0
         self.place_due = False
         self.placed_at = float("-inf")
         self.preempted_at = float("-inf")
@@ -277,12 +279,23 @@
             self.write_soon(job_key(job.id), True)
 
     def write_soon(self, key, soon):
-        """Exits wait for company, since each written key counts; starts, stops and ends don't."""
+        """Exits wait for company, since each written key counts; starts, stops and ends don't.
+
+        They wait the less the fewer writes there are, since others see the free room only then.
+        """
         now = self.now()
-        due = now + (0.0 if soon else self.settings.report_s)
+        delay = 0.02 if soon else self.settings.report_s * min(1.0, max(0.1, 2 * self.write_rate(now, 0) / self.write_share))
+        due = now + (0.0 if soon else delay)
         if due < self.dirty.get(key, float("inf")):
             self.dirty[key] = due
-        self.flush_in(0.02 if soon else self.settings.report_s)
+        self.flush_in(delay)
+
+    def write_rate(self, now, more):
+        """Keys written a second, over the last few seconds; `more` of them just now."""
+        window = 3 * self.settings.report_s
+        self.written = self.written * math.exp((self.written_at - now) / window) + more
+        self.written_at = now
+        return self.written / window
 
     def flush_in(self, delay):
         at = self.now() + delay
@@ -326,6 +339,7 @@
         if not writes:
             self.flush_rest()
             return
+        self.write_rate(now, len(writes))
         self.flight = keys
         self.flight_shards = {int(key.rpartition("/")[2]) for key in conditions if key.startswith(LIVE + "s/")}
         self.deferred = {key: [] for key in keys}
