--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -43,7 +43,6 @@
         self.inventory = {}  # machine -> placement.Machine
         self.room = placement.Room(settings.teams)
         self.images = placement.ImageCaches()
-        self.spare = set()  # machines that the work at hand does not need
         self.dirty = {}  # key -> when it should be written
         self.flight = None  # keys of the commit on its way
         self.flight_shards = set()
@@ -180,7 +179,6 @@
         self.inventory = machines
         self.room.inventory(machines)
         self.images.keep_only(machines)
-        self.spare = placement.spare_machines(machines, self.room.replicas, self.demand_of(self.jobs.values()))
         self.soon_place()
 
     def on_exited(self, job_id, task, attempt, machine, why, saved):
@@ -499,7 +497,7 @@
             self.room,
             {name for name, machine in self.inventory.items()
              if name not in self.marks and self.suspects.get(name, (0, 0))[0] <= now and machine.open},
-            self.images, self.spare)
+            self.images)
         try:
             self.play(now, waiting, turn)
         finally:
@@ -637,14 +635,11 @@
 
     # --- questions of other slices
 
-    def demand_of(self, jobs):
-        wanted = [job for job in jobs if not job.withdrawn]
-        return placement.demand(wanted, placement.headroom(wanted, self.settings.objectives, self.types, self.system.wall()),
-                                self.types, self.settings.teams)
-
     def on_demand(self, reply):
         """`reply({pool: machines})`: what own jobs ask for, in whole machines."""
-        reply(self.demand_of([job for job in self.jobs.values() if self.mine(job)]))
+        own = [job for job in self.jobs.values() if self.mine(job) and not job.withdrawn]
+        reply(placement.demand(own, placement.headroom(own, self.settings.objectives, self.types, self.system.wall()),
+                               self.types, self.settings.teams))
 
     def on_occupied(self, reply):
         """`reply(machines that any bound task names)`."""
--- a/emberglade/placement/__init__.py
+++ b/emberglade/placement/__init__.py
@@ -4,7 +4,7 @@
 from .demand import demand
 from .headroom import headroom
 from .images import ImageCaches
-from .room import Machine, Room, Round, order, spare_machines
+from .room import Machine, Room, Round, order
 from .types import MachineType, fits_some_type, read_types, write_types
 
-__all__ = ["ImageCaches", "Machine", "MachineType", "Room", "Round", "demand", "fits_some_type", "headroom", "order", "preempt", "read_types", "spare_machines", "write_types"]
+__all__ = ["ImageCaches", "Machine", "MachineType", "Room", "Round", "demand", "fits_some_type", "headroom", "order", "preempt", "read_types", "write_types"]
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -1,12 +1,10 @@
 """The free-room table, kept up to date task by task, and one round of placing on it."""
 
-import math
 from dataclasses import dataclass
 
 from .types import SLACK, MachineType
 
 LEAST_OF_ESTIMATE = 0.6  # estimates are often wrong by half
-SPARE_MARGIN = 1.05  # room that doesn't add up to whole tasks
 
 
 @dataclass(frozen=True)
@@ -124,27 +122,11 @@
         return zones, known
 
 
-def spare_machines(machines, replicas, demand):
-    """The ordinary machines that the work at hand does not need, given whole machines by pool.
-
-    Spot machines are cheap and always of use. Those with replicas come first among the needed,
-    since they can't go back; the rest by name, so that it is the same ones at all times.
-    """
-    spare = set()
-    for type_name in {pool[0] for pool in demand} | {m.type.name for m in machines.values()}:
-        ordinary = [name for name, m in machines.items() if m.type.name == type_name and not m.spot]
-        spot = sum(m.type.name == type_name and m.spot for m in machines.values())
-        need = demand.get((type_name, False), 0.0) + max(0.0, demand.get((type_name, True), 0.0) - spot)
-        ordinary.sort(key=lambda name: (not replicas.get(name), name))
-        spare.update(ordinary[math.ceil(SPARE_MARGIN * need) + 1:])
-    return spare
-
-
 class Round:
     """One round of placing: what it takes is taken back by `undo`, unless it was bound since."""
 
-    def __init__(self, room, usable, images, spare=frozenset()):
-        self.room, self.images, self.spare = room, images, spare
+    def __init__(self, room, usable, images):
+        self.room, self.images = room, images
         self.usable = usable
         # Most machines are full most of the time; only the others are looked at for every job.
         self.roomy = [name for name in usable if room.free[name][0] > SLACK and room.free[name][2] > SLACK]
@@ -159,12 +141,8 @@
 
     def score(self, spec, name):
         room = self.room
-        missing = spec.image_gb > 0 and not self.images.has(name, spec.image)
         return (
-            # What is not needed for today's work is to fall idle; only replicas, which users wait
-            # for, go there for the sake of an image.
-            missing if spec.service else name in self.spare,
-            name in self.spare if spec.service else missing,
+            spec.image_gb > 0 and not self.images.has(name, spec.image),
             # Replicas live long: on few machines they keep few from going back.
             -room.replicas[name] if spec.service else room.replicas[name] > 0,
             # Cheap machines first for what may use them, so that ordinary room stays free.
