What a team is guaranteed is served in a first pass, each team's jobs in their own order

Cause: by job, a team's old work of the lowest rank went before its own payroll-sync at its limit. Change: a round first gives each team room up to its guarantee, its jobs by rank and due time, then the rest.

--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -504,54 +504,59 @@
             turn.undo()
 
     def play(self, now, waiting, turn):
-        """One round: takes room for everybody's waiting tasks in order, and binds its own."""
+        """One round: takes room for everybody's waiting tasks in order, and binds its own.
+
+        Every holder plays the round through for all jobs, in the same order: room that a free machine
+        offers is not fought over by several nodes.
+        """
         wall = self.system.wall()
+        teams = self.settings.teams
         starving = {job.id for job in waiting if self.starves(job, wall)}
-        # Work within its team's guarantee is not to wait for what others run beyond theirs.
-        self.guaranteed = placement.preempt.guaranteed((job for job in self.jobs.values() if not job.withdrawn), self.settings.teams)
-        waiting.sort(key=lambda job: (job.id not in starving, job.spec.rank > 0, job.id not in self.guaranteed,
-                                      placement.order(job.spec, self.settings.objectives, wall)))
+        waiting.sort(key=lambda job: (job.id not in starving, placement.order(job.spec, self.settings.objectives, wall)))
+        self.guaranteed = placement.preempt.guaranteed((job for job in self.jobs.values() if not job.withdrawn), teams)
+        ahead = placement.headroom(self.jobs.values(), self.settings.objectives, self.types, wall)
         budget = self.settings.txn_ops * 4 * self.size
-        spare = placement.headroom(self.jobs.values(), self.settings.objectives, self.types, wall)
-        for job in waiting:
-            for ahead, tasks in [row for row in spare if row[0].spec.rank < job.spec.rank]:
-                spare.remove((ahead, tasks))
-                turn.fill(ahead, math.ceil(tasks))
-            # Every holder plays the round through for all jobs, in the same order, and binds only
-            # its own tasks: room that a free machine offers is not fought over by three nodes.
-            mine = self.mine(job)
-            if budget <= 0 and mine:
-                continue
-            most = min(job.waiting_count(), turn.most(job.spec), 256)
-            if most <= 0:
-                continue
-            if job.id in starving:
-                # Enough to begin; the rest takes its place in the ordinary order.
-                most = min(most, math.ceil(job.spec.tasks / 8))
-            tasks = job.waiting(now, most)
-            if not mine:
-                # What was often tried its holder may well be holding back.
-                tasks = [task for task in tasks if job.part(task).tried.get(task, 0) <= 3]
-            together = job.spec.together and not job.bound_count()
-            found = turn.fill(job, len(tasks))
-            if together and len(found) < job.waiting_count():
-                turn.forget(len(found))
-                continue
-            if not mine or not found:
-                continue
-            turn.forget(len(found))
-            missing = 0
-            for task, machine in zip(tasks, found, strict=False):
-                missing += not self.images.has(machine, job.spec.image)
-                part = job.part(task)
-                self.bind(job, task, Bound(part.tried.pop(task, 0) + 1, machine, self.inventory[machine].session))
-                self.touch(job, task)
-            budget -= len(found)
-            log.info("placing %d tasks of %s after %.1f s on %s%s", len(found), job.id, wall - job.spec.submitted,
-                     " ".join(sorted(set(found))), f", image {job.spec.image} not cached for {missing}" if missing else "")
+        played = {}  # other holders' jobs -> tasks that room was taken for
+        # First what each team is guaranteed: that is not to wait for what others run beyond theirs.
+        for within in (True, False) if any(team.cpus or team.gpus for team in teams.values()) else (False,):
+            for job in waiting:
+                for row in [row for row in ahead if row[0].spec.rank < job.spec.rank]:
+                    ahead.remove(row)
+                    turn.fill(row[0], math.ceil(row[1]))
+                most = min(job.waiting_count(), turn.most(job.spec), 256)
+                if within and job.spec.rank:
+                    most = min(most, self.room.more_within_guarantee(job.spec))
+                if job.id in starving:
+                    # Enough to begin; the rest takes its place in the ordinary order.
+                    most = min(most, math.ceil(job.spec.tasks / 8))
+                if most <= 0:
+                    continue
+                if not self.mine(job):
+                    # What was often tried its holder may well be holding back.
+                    past = played.get(job.id, 0)
+                    tasks = [task for task in job.waiting(now, most + past) if job.part(task).tried.get(task, 0) <= 3]
+                    played[job.id] = past + len(turn.fill(job, len(tasks) - past))
+                elif budget > 0:
+                    budget -= self.place(job, job.waiting(now, most), turn, wall)
         self.preempt(now, waiting, turn)
         self.placed_at = self.now() + 3 * (self.now() - now)
 
+    def place(self, job, tasks, turn, wall):
+        """Binds as many of the tasks as find room; returns how many."""
+        found = turn.fill(job, len(tasks))
+        turn.forget(len(found))
+        if not found or (job.spec.together and not job.bound_count() and len(found) < job.waiting_count()):
+            return 0
+        missing = 0
+        for task, machine in zip(tasks, found, strict=False):
+            missing += not self.images.has(machine, job.spec.image)
+            part = job.part(task)
+            self.bind(job, task, Bound(part.tried.pop(task, 0) + 1, machine, self.inventory[machine].session))
+            self.touch(job, task)
+        log.info("placing %d tasks of %s after %.1f s on %s%s", len(found), job.id, wall - job.spec.submitted,
+                 " ".join(sorted(set(found))), f", image {job.spec.image} not cached for {missing}" if missing else "")
+        return len(found)
+
     def starves(self, job, wall):
         """Whether a job that has not begun at all has waited so long that it goes first.
 
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -95,11 +95,17 @@
     def more_within_limit(self, spec):
         """How many more tasks like this the team's limit allows."""
         team = self.teams.get(spec.team)
-        if team is None:
-            return 0
+        return 0 if team is None else self._more(spec, team.cpus_max, team.gpus_max)
+
+    def more_within_guarantee(self, spec):
+        """How many more tasks like this the team is guaranteed."""
+        team = self.teams.get(spec.team)
+        return 0 if team is None or not (team.cpus or team.gpus) else self._more(spec, team.cpus, team.gpus)
+
+    def _more(self, spec, cpus, gpus):
         use = self.team_use.get(spec.team, (0.0, 0.0))
         most = spec.tasks
-        for limit, need, used in ((team.cpus_max, spec.cpus, use[0]), (team.gpus_max, spec.gpus, use[1])):
+        for limit, need, used in ((cpus, spec.cpus, use[0]), (gpus, spec.gpus, use[1])):
             if limit > 0 and need > 0:
                 most = min(most, int((limit - used) / need + SLACK))
         return max(0, most)
