--- a/emberglade/placement/headroom.py
+++ b/emberglade/placement/headroom.py
@@ -4,9 +4,6 @@
 """
 
 
-import math
-
-
 def headroom(jobs, objectives, types, wall):
     """[(a job, tasks like it expected within a boot time)], by image, for classes with a `wait` aim.
 
@@ -21,14 +18,8 @@
         if spec.breed not in urgent:
             continue
         key = (spec.breed, spec.image)
-        latest, arrived, tasks = found.get(key, (job, 0, 0))
+        latest, tasks = found.get(key, (job, 0))
         if spec.submitted > wall - window:
-            arrived, tasks = arrived + 1, tasks + spec.tasks
-        found[key] = (max(latest, job, key=lambda j: (j.spec.submitted, j.id)), arrived, tasks)
-    rows = []
-    for job, arrived, tasks in found.values():
-        if arrived:
-            # Arrivals of one boot time, and their spread: they come one by one, not evenly.
-            expected = arrived * boot_s / window
-            rows.append((job, tasks / arrived * (expected + math.sqrt(expected))))
-    return rows
+            tasks += spec.tasks
+        found[key] = (max(latest, job, key=lambda j: (j.spec.submitted, j.id)), tasks)
+    return [(job, tasks * boot_s / window) for job, tasks in found.values() if tasks]
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -147,15 +147,15 @@
 
     def score(self, spec, name):
         room = self.room
-        return (
-            spec.image_gb > 0 and not self.images.has(name, spec.image),
+        missing = spec.image_gb > 0 and not self.images.has(name, spec.image)
+        # Cheap machines first for what may use them, so that ordinary room stays free; and the same
+        # machines first at all times, so that the others fall idle and go back.
+        last = room.machines[name].spot != spec.spot, name
+        if spec.service:
             # Replicas live long: on few machines they keep few from going back.
-            -room.replicas[name] if spec.service else room.replicas[name] > 0,
-            # Cheap machines first for what may use them, so that ordinary room stays free.
-            room.machines[name].spot != spec.spot,
-            # The same machines first at all times, so that the others fall idle and go back.
-            name,
-        )
+            return missing, -room.replicas[name], *last
+        # Where replicas are, their images are: that room is for more of them, who can't wait for one.
+        return room.replicas[name] > 0, missing, *last
 
     @staticmethod
     def needs(spec):
