--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -181,17 +181,26 @@
         found = []
         fitting = [name for name in self.roomy if fits(spec, free[name]) and self.allowed(spec, name)]
         most = (spec.tasks + 1) // 2
-        for _, name in sorted((self.score(spec, name), name) for name in fitting):
-            zone = room.machines[name].zone
-            while len(found) < count and fits(spec, free[name]):
-                if zoned:
-                    if (spec.one_zone and zones and zone not in zones) or (spec.scatter and zones.get(zone, 0) >= most):
+        ordered = [name for _, name in sorted((self.score(spec, name), name) for name in fitting)]
+        # A service's replicas go to a machine each where they can: what a machine's loss costs is less,
+        # and more machines hold the image for those that come later.
+        at_once = 1 if spec.service else count
+        while ordered and len(found) < count:
+            again = []
+            for name in ordered:
+                zone = room.machines[name].zone
+                for _ in range(min(at_once, count - len(found))):
+                    if not fits(spec, free[name]) or (zoned and (
+                            (spec.one_zone and zones and zone not in zones) or (spec.scatter and zones.get(zone, 0) >= most))):
                         break
                     zones[zone] = zones.get(zone, 0) + 1
-                room.count(spec, name)
-                found.append(name)
-            if len(found) >= count:
-                break
+                    room.count(spec, name)
+                    found.append(name)
+                else:
+                    again.append(name)
+                if len(found) >= count:
+                    break
+            ordered = again
         if not zoned and len(found) < count:
             self.full.add(self.needs(spec))
         self.taken += [(spec, name) for name in found]
