--- a/emberglade/agents/desk.py
+++ b/emberglade/agents/desk.py
@@ -77,6 +77,7 @@
         self.born = self.now()
         super().on_begin()
         self.after(0.3, "ask_peers")
+        self.after(0.5, "tick")
         self.after(1.0, "tables")
 
     def on_contact(self, when, revision):
@@ -484,13 +485,18 @@
 
     def on_ask_peers(self):
         now = self.now()
-        self.after(min(1.0, self.settings.report_s), "ask_peers")
+        # While a machine with tasks is silent, they wait for what the peers state.
+        anxious = any(mark[0] == "lost" and name in self.bound for name, mark in self.marks.items())
+        self.after(min(1.0, self.settings.report_s) / (4 if anxious else 1), "ask_peers")
         for name, link in self.peers.items():
             if now - self.asked.get(name, -100) < 3 * self.settings.report_s:
                 continue
             self.asked[name] = now
             link.call("POST", "/peer/heard", {}, 2 * self.settings.report_s, self.then("peer_heard", name, now))
-        self.answer_late(now)
+
+    def on_tick(self):
+        self.after(min(1.0, self.settings.report_s), "tick")
+        self.answer_late(self.now())
         self.write_facts()
         self.tell_inventory()
 
@@ -567,13 +573,13 @@
         self.inventory = inventory
         self.keeper.tell("inventory", inventory)
 
-    def on_silence(self, reply):
-        """`reply({machine: (heard, proven over, deaf)})` for the leader."""
+    def on_silence(self, reply, marked=False):
+        """`reply({machine: (heard, proven over, deaf)})` for the leader; of marked machines only if so asked."""
         now = self.now()
         result = {}
         # Tables are older than what a peer would answer; that is not the machines' silence.
         slack = TABLE_S if self.sightings.missing_peers(now) else 0.0
-        for name in sorted(set(self.sightings.view) | set(self.bound) | set(self.marks)):
+        for name in sorted(set(self.marks) if marked else set(self.sightings.view) | set(self.bound) | set(self.marks)):
             sighting, known, mark = self.sightings.view.get(name), self.known.get(name), self.marks.get(name)
             own = max(known.heard, known.answered) if known else self.born
             heard = min(now, slack + (sighting.heard if sighting is not None else self.born))
--- a/emberglade/fleet/steward.py
+++ b/emberglade/fleet/steward.py
@@ -73,6 +73,7 @@
         super().on_begin()
         self.experts = family(self.operators.min_lookback_s, self.operators.max_lookback_s)
         self.after(0.5, "tick")
+        self.after(0.5, "watch")
 
     # --- the committed copy
 
@@ -139,6 +140,12 @@
         self.desk.tell("silence", self.then("silent"))
         self.count_demand(now)
 
+    def on_watch(self):
+        """Tasks of a silent machine wait for its lease to be proven over: that is asked more often."""
+        self.after(self.settings.report_s / 6, "watch")
+        if self.leading and any(mark == "lost" and name in self.occupied for name, (mark, _) in self.marks.items()):
+            self.desk.tell("silence", self.then("silent"), True)
+
     def count_demand(self, now):
         total = {}
         for table in self.tables.values():
