--- a/emberglade/frontdoor/door.py
+++ b/emberglade/frontdoor/door.py
@@ -30,6 +30,8 @@
         self.live = {}  # job -> (its key's value, stamp, {part: value}) as committed
         self.final = OrderedDict()  # job -> (glow, done, tasks): final states never change
         self.open_submissions = 0
+        # Questions wait for a sync together; more than a few syncs' worth would time out.
+        self.open_questions, self.most_questions = 0, int(2 * settings.state_rps)
         # More than a second's worth of the service's write budget can't be accepted in time.
         self.most_submissions = max(4, int(settings.state_write_rps / settings.size))
 
@@ -173,9 +175,15 @@
         if job_id in self.final:
             reply(True, self.final_answer(job_id))
             return
+        if self.open_questions >= self.most_questions:
+            # A flood of questions is not to take the processor from the workers' reports.
+            reply(None, None)
+            return
+        self.open_questions += 1
         self.ledger.tell("sync", self.then("look_synced", job_id, reply))
 
     def on_look_synced(self, job_id, reply, revision):
+        self.open_questions -= 1
         if revision is None:
             reply(None, None)
             return
--- /dev/null
+++ b/emberglade/jobs/placer.py
@@ -0,0 +1,210 @@
+"""The keeper's rounds of placing: what runs where, and what is stopped to make room."""
+
+import logging
+import math
+
+from .. import placement
+from .record import KEEP, SAVE, Bound
+
+log = logging.getLogger("emberglade.jobs")
+
+
+class Placer:
+    """The part of the keeper that places; a round is played on its room and leaves only bindings."""
+
+    place_due = False
+    placed_at = preempted_at = float("-inf")
+
+    def __init__(self, settings):
+        self.room = placement.Room(settings.teams)
+        self.images = placement.ImageCaches()
+        self.guaranteed = set()  # jobs within their team's guarantee, as of the last round
+        self.suspects = {}  # machine -> (until, errors)
+        self.asked = {}  # (job, task, attempt) -> when its holder was asked to stop it
+
+    def soon_place(self):
+        if not self.place_due:
+            self.place_due = True
+            # A round costs more the more there is; so that rounds leave time for reports, the next
+            # one comes no sooner than a few times what the last one took.
+            self.after(max(0.05, self.placed_at - self.now()), "place")
+
+    def on_place(self):
+        self.place_due = False
+        now = self.now()
+        if not self.loaded or not self.types or self.flight is not None:
+            return
+        waiting = [job for job in self.jobs.values() if not job.withdrawn and job.waiting_count()]
+        if not any(self.mine(job) for job in waiting):
+            return
+        turn = placement.Round(
+            self.room,
+            {name for name, machine in self.inventory.items()
+             if name not in self.marks and self.suspects.get(name, (0, 0))[0] <= now and machine.open},
+            self.images)
+        try:
+            self.play(now, waiting, turn)
+        finally:
+            turn.undo()
+
+    def play(self, now, waiting, turn):
+        """One round: takes room for everybody's waiting tasks in order, and binds its own.
+
+        Every holder plays the round through for all jobs, in the same order: room that a free machine
+        offers is not fought over by several nodes.
+        """
+        wall = self.system.wall()
+        teams = self.settings.teams
+        starving = {job.id for job in waiting if self.starves(job, wall)}
+        waiting.sort(key=lambda job: (job.id not in starving, placement.order(job.spec, self.settings.objectives, wall)))
+        self.guaranteed = placement.preempt.guaranteed((job for job in self.jobs.values() if not job.withdrawn), teams)
+        ahead = placement.headroom(self.jobs.values(), self.settings.objectives, self.types, wall)
+        budget = self.settings.txn_ops * 4 * self.size
+        played = {}  # other holders' jobs -> tasks that room was taken for
+        # First what each team is guaranteed: that is not to wait for what others run beyond theirs.
+        for within in (True, False) if any(team.cpus or team.gpus for team in teams.values()) else (False,):
+            for job in waiting:
+                for row in [row for row in ahead if row[0].spec.rank < job.spec.rank]:
+                    ahead.remove(row)
+                    turn.fill(row[0], math.ceil(row[1]))
+                most = min(job.waiting_count(), turn.most(job.spec), 256)
+                if within and job.spec.rank:
+                    most = min(most, self.room.more_within_guarantee(job.spec))
+                if job.id in starving:
+                    # Enough to begin; the rest takes its place in the ordinary order.
+                    most = min(most, math.ceil(job.spec.tasks / 8))
+                if most <= 0:
+                    continue
+                if not self.mine(job):
+                    # What was often tried its holder may well be holding back.
+                    past = played.get(job.id, 0)
+                    tasks = [task for task in job.waiting(now, most + past) if job.part(task).tried.get(task, 0) <= 3]
+                    played[job.id] = past + len(turn.fill(job, len(tasks) - past))
+                elif budget > 0:
+                    budget -= self.place(job, job.waiting(now, most), turn, wall)
+        self.preempt(now, waiting, turn)
+        self.placed_at = self.now() + 3 * (self.now() - now)
+
+    def place(self, job, tasks, turn, wall):
+        """Binds as many of the tasks as find room; returns how many."""
+        found = turn.fill(job, len(tasks))
+        turn.forget(len(found))
+        if not found or (job.spec.together and not job.bound_count() and len(found) < job.waiting_count()):
+            return 0
+        missing = 0
+        for task, machine in zip(tasks, found, strict=False):
+            missing += not self.images.has(machine, job.spec.image)
+            part = job.part(task)
+            self.bind(job, task, Bound(part.tried.pop(task, 0) + 1, machine, self.inventory[machine].session))
+            self.touch(job, task)
+        log.info("placing %d tasks of %s after %.1f s on %s%s", len(found), job.id, wall - job.spec.submitted,
+                 " ".join(sorted(set(found))), f", image {job.spec.image} not cached for {missing}" if missing else "")
+        return len(found)
+
+    def starves(self, job, wall):
+        """Whether a job that has not begun at all has waited so long that it goes first.
+
+        A line by rank and due time alone leaves the largest and lowest jobs waiting for ever when
+        more keeps coming than can be served.
+        """
+        return wall - job.spec.submitted > 8 * self.settings.lease_s and not job.bound_count() and not job.done_count()
+
+    def pressing(self, job, now):
+        """Whether a waiting job may have others stopped now: a deadline leaves room for patience."""
+        spec = job.spec
+        age = self.system.wall() - spec.submitted
+        if spec.service:
+            return age > 2 * self.settings.report_s / 10
+        if job.id in self.guaranteed and age > self.settings.report_s:
+            return True
+        if spec.deadline_s is not None:
+            return spec.deadline_s - age < spec.estimate_s * 1.5 + self.settings.lease_s
+        return spec.rank < 2 and age > self.settings.lease_s
+
+    def preempt(self, now, waiting, turn):
+        if now - self.preempted_at < self.settings.report_s / 5:
+            return
+        room, teams = self.room, self.settings.teams
+        pressing = [job for job in waiting if self.mine(job) and job.waiting_count() and self.pressing(job, now)]
+        own = [(job, [other for other in self.jobs.values() if other is not job and other.bound_count()
+                      and placement.preempt.may_stop(job.spec, other.spec, room, teams)]) for job in pressing]
+        own = [(job, victims) for job, victims in own if victims]
+        if not own:
+            return
+        self.preempted_at = now
+        self.asked = {key: at for key, at in self.asked.items() if now - at < 2 * self.settings.report_s}
+
+        def stopping(row):
+            return row[2].stop != KEEP or row[0].withdrawn or (row[0].id, row[1], row[2].attempt) in self.asked
+
+        def fresh(row):
+            # A start that is stopped within 30 s does not count as one for its user.
+            return now - row[2].since < 30
+
+        # What is being stopped already will be room; it is counted as such, not stopped for twice.
+        for job in self.jobs.values():
+            for bound in [bound for _, bound in job.bound() if bound.stop or job.withdrawn]:
+                turn.give(job.spec, bound.machine)
+        for job_id, task, attempt in self.asked:
+            job = self.jobs.get(job_id)
+            bound = job.part(task).bound.get(task) if job is not None else None
+            if bound is not None and bound.attempt == attempt and not bound.stop and not job.withdrawn:
+                turn.give(job.spec, bound.machine)
+        most = 16  # each costs a look at all machines; the next round comes soon
+        for job, victim_jobs in own:
+            rows = [(other, task, bound) for other in victim_jobs for task, bound in other.bound()
+                    if not stopping((other, task, bound))]
+            for _ in range(min(job.waiting_count(), 64)):
+                if not room.more_within_limit(job.spec):
+                    victims = placement.preempt.for_limit(job.spec, rows, room, teams, fresh)
+                    if not victims:
+                        break
+                elif turn.fill(job, 1):
+                    continue
+                else:
+                    victims = placement.preempt.for_room(job, rows, turn, teams, fresh)
+                    if not victims:
+                        break
+                for row in victims:
+                    rows.remove(row)
+                    turn.give(row[0].spec, row[2].machine)
+                    self.ask_stop(now, row, f"room for {job.id}")
+                turn.fill(job, 1)
+                most -= 1
+                if most <= 0:
+                    return
+
+    def ask_stop(self, now, row, reason):
+        job, task, bound = row
+        if self.mine(job):
+            self.stop(job, task, SAVE, reason)
+        else:
+            self.asked[(job.id, task, bound.attempt)] = now
+            self.desk.tell("ask_stop", job.id, task, bound.attempt, SAVE, reason)
+
+    def on_thin_machine(self, type_name, most, reply):
+        """`reply(machine, count)`: one that only holds up to `most` replicas, all of which would find
+        room with their image on other machines in use; `reply(None, 0)` if there is none."""
+        replicas = self.room.replicas
+        rows = []
+        for name, machine in self.inventory.items():
+            on = self.room.on.get(name, {})
+            if (machine.type.name == type_name and not machine.spot and machine.open and name not in self.marks
+                    and 0 < len(on) <= most and all(job.spec.service and not bound.stop and not job.withdrawn
+                                                    for job, bound in on.values())):
+                rows.append((len(on), name))
+        usable = {name for name, machine in self.inventory.items()
+                  if machine.open and name not in self.marks and replicas.get(name)}
+        for count, name in sorted(rows)[:8]:
+            turn = placement.Round(self.room, usable - {name}, self.images)
+            fits = True
+            for job, _ in self.room.on[name].values():
+                found = turn.fill(job, 1)
+                if not found or not self.images.has(found[0], job.spec.image):
+                    fits = False
+                    break
+            turn.undo()
+            if fits:
+                reply(name, count)
+                return
+        reply(None, 0)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -149,8 +149,17 @@
             text = "x" * int(text[6:])
         self.cluster.ask(node, method, path, text, self.answers)
 
+    def do_flood(self, node, count, job_id):
+        for _ in range(int(count)):
+            self.cluster.ask(node, "GET", f"/submissions/{job_id}", "", self.answers)
+
     # --- expectations
 
+    def expect_answered(self, status, least, most):
+        count = sum(found == int(status) for found, _, _ in self.answers)
+        assert int(least) <= count <= int(most), count
+        assert all(retry is not None for found, _, retry in self.answers if found == 503)
+
     def expect_kept(self):
         assert not self.cluster.observer.broken and not self.cluster.observer.rules(), self.cluster.observer.broken[:5]
 
