--- a/emberglade/fleet/steward.py
+++ b/emberglade/fleet/steward.py
@@ -24,6 +24,11 @@
 MOVED_SHARE = 1 / 3000  # of all replicas a second: with a second or two each, a loss of about 0.0005
 
 
+def some(names):
+    """Names for a line of the log: hundreds may be concerned at once."""
+    return " ".join(names[:8]) + (f" and {len(names) - 8} more" if len(names) > 8 else "")
+
+
 @dataclass
 class Machine:
     """A machine as the leader counts it."""
@@ -249,15 +254,13 @@
                     back.append(name)
             elif mark in ("lost", "ended") and machine is None and name not in self.occupied and quiet > 6 * self.settings.lease_s:
                 back.append(name)
-        if lost:
-            log.info("no node is in touch with %s; nothing more is placed there", lost)
-            self.mark(lost, "lost")
-        if ended:
-            log.info("the leases of %s have run out; their tasks move", ended)
-            self.mark(ended, "ended")
-        if back:
-            log.info("%s may be used again", back)
-            self.mark(back, None)
+        for names, mark, text in ((lost, "lost", "no node is in touch with %s; nothing more is placed there"),
+                                  (ended, "ended", "the leases of %s have run out; their tasks move"),
+                                  (back, None, "%s may be used again")):
+            names = [name for name in names if name not in self.marking]
+            if names:
+                log.info(text, some(names))
+                self.mark(names, mark)
 
     def mark(self, names, mark):
         names = [name for name in names if name not in self.marking][:self.settings.txn_ops]
@@ -327,7 +330,7 @@
         chosen = sorted((m for m in idle if not m.spot), key=lambda m: m.idle_since)[:max(0, surplus_ordinary)]
         chosen += sorted((m for m in idle if m.spot), key=lambda m: m.idle_since)[:max(0, surplus_spot - len(chosen))]
         if chosen:
-            log.info("returning %s: idle for %g s above the target", [m.name for m in chosen], hold)
+            log.info("returning %s: idle for %g s above the target", some([m.name for m in chosen]), hold)
             self.mark([m.name for m in chosen], "drain")
 
     def consolidate(self, name):
@@ -435,7 +438,7 @@
         ready = ready[:MOST_RETURNED]
         if ready:
             self.returning.update(ready)
-            log.info("giving %s back to the cloud", ready)
+            log.info("giving %s back to the cloud", some(ready))
             self.cloud.call("POST", "/hosts/return", wire.give_back(ready), 4.0, self.then("given_back", ready))
 
     def long_deaf(self, machine, now):
