--- a/emberglade/agents/desk.py
+++ b/emberglade/agents/desk.py
@@ -5,9 +5,11 @@
 """
 
 import logging
+import zlib
 
 import orjson
 
+from ..fleet.marks import Marks
 from ..jobs.record import KEEP, SAVE, STOP, Part, Spec, shard_of, task_name
 from ..membership import shard_count
 from ..placement import read_types
@@ -43,6 +45,8 @@
 
 
 class Desk(Gossip, Follower):
+    hears_contact = True
+
     def __init__(self, settings, ledger, keeper, member, peers, workers):
         super().__init__(settings)
         self.settings = settings
@@ -53,7 +57,7 @@
         self.touched = set()  # machines whose bindings or mark changed since their last report here
         self.fresh = []  # bindings and stops that came with the change at hand
         self.loose = {}
-        self.marks = {}  # machine -> (mark, stamp, when it was seen here)
+        self.marks = Marks()
         self.holders = {}
         self.types = {}
         self.nodes = set()
@@ -63,6 +67,8 @@
         self.outbox_due = False
         self.undelivered = {}  # node -> facts that could not be told directly
         self.wrote_facts = False
+        self.sent_home = {}  # machine -> when it was sent to a node in its own zone
+        self.tried_home = {}  # node -> when a worker was last sent there
         self.waiting = {}  # reports that wait for a sync: number -> (report, reply, since)
         self.waited = 0
 
@@ -85,6 +91,7 @@
             for job_id in [j for j in self.jobs if "j/" + j not in alive]:
                 self.drop_job(job_id)
             self.nodes = set()
+            self.marks.forget()
         tables = set()
         for key, data, stamp in events:
             self.absorb(key, data, stamp, tables)
@@ -125,11 +132,7 @@
             else:
                 self.loose.setdefault(job_id, {})[int(number)] = (data, stamp)
         elif key.startswith("m/"):
-            self.touched.add(key[2:])
-            if data is None:
-                self.marks.pop(key[2:], None)
-            else:
-                self.marks[key[2:]] = (data.get("mark"), stamp, self.now())
+            self.touched.update(self.marks.apply(key, data, stamp, self.now()))
         elif key.startswith("s/"):
             if data is not None:
                 self.holders[int(key[2:])] = data.get("node")
@@ -141,10 +144,14 @@
                 self.tables.pop(node, None)
             else:
                 self.nodes.add(node)
-                self.tables.setdefault(node, {})[key] = (data, stamp)
+                self.tables.setdefault(node, {})[key] = data
         elif key.startswith("r/"):
-            if data is not None:
-                self.tables.setdefault(key.split("/")[1], {})[key] = (data, stamp)
+            node = key.split("/")[1]
+            if data is None:
+                self.tables.get(node, {}).pop(key, None)
+            else:
+                self.tables.setdefault(node, {})[key] = data
+                tables.add(node)
         elif key.startswith("f/"):
             for fact in wire.read_facts(((data or {}).get("to") or {}).get(self.settings.node)):
                 self.keeper.tell(*fact)
@@ -203,8 +210,12 @@
             # the proof that this machine's leases are over counts on its silence.
             reply(503, {"error": "no contact with the state service"}, 1)
             return
+        home = self.home_node(report, now) if not mark else None
+        if home is not None:
+            reply(421, wire.elsewhere(home))
+            return
         sighting = self.sightings.view.get(name)
-        if (sighting is not None and sighting.age >= report.age) or (mark and mark[0] == "gone"):
+        if (sighting is not None and sighting.age >= report.age) or mark == "gone":
             # A copy that came late, perhaps of a machine that was returned: no sign of life. The
             # lease that its answer could renew is one that the newer message renewed already.
             reply(200, wire.answer(report.token, []))
@@ -279,12 +290,12 @@
             if early or sighting.row.deaf:
                 known.deaf, known.probe = True, None
                 if early:
-                    log.info("%s lost its lease although it was answered; it gets no work until it hears us", report.machine)
+                    self.deaf_now.append(report.machine)
                 self.soon_inventory()
         if known.deaf:
             if known.probe is not None and report.token >= known.probe:
                 known.deaf, known.probe = False, None
-                log.info("%s hears us again", report.machine)
+                self.hearing_now.append(report.machine)
                 self.soon_inventory()
             elif known.probe is None and self.revision > report.token:
                 known.probe = self.revision
@@ -486,5 +497,32 @@
                 return name
         return None
 
+    def home_node(self, report, now):
+        """A node in the worker's own zone that can take it, if it is not there already.
+
+        When a zone is cut off, its workers need their lease renewed by a node inside. Once broken: most
+        reported to nodes outside, and with five of them the search for the one inside took longer than a
+        lease (agents/zone_with_five.txt). A worker is sent once in four leases, so that one which can't
+        reach that node stays where it is heard.
+        """
+        settings, name = self.settings, report.machine
+        if report.zone == settings.zone or report.notice_s is not None or now - self.sent_home.get(name, float("-inf")) < 4 * settings.lease_s:
+            return None
+        inside = []
+        for peer in settings.peers:
+            said = self.sightings.told.get(peer.name)
+            if (peer.zone == report.zone and peer.name in self.nodes and said is not None
+                    and now - said.got < 2 * settings.report_s and said.contact_s + now - said.got < settings.lease_s / 4
+                    # It hears workers, or is to show by one now and then that it does.
+                    and (said.hearing or now - self.tried_home.get(peer.name, float("-inf")) > settings.lease_s / 4)
+                    # One node is not to hear them all, if most machines are in its zone.
+                    and said.hearing <= 3 * len(self.sightings.view) / settings.size):
+                inside.append(peer.name)
+        if not inside:
+            return None
+        chosen = inside[zlib.crc32(name.encode()) % len(inside)]
+        self.sent_home[name] = self.tried_home[chosen] = now
+        return chosen
+
     def on_ready(self, reply):
         reply(self.revision >= 0 and self.better_node(self.now()) is None)
--- a/emberglade/agents/gossip.py
+++ b/emberglade/agents/gossip.py
@@ -11,6 +11,8 @@
 log = logging.getLogger("emberglade.agents")
 
 TABLE_S = 5.0  # the DESIGN page's interval of tables
+MOST_ASKED = 1000  # machines in one question: well below 64 KiB
+MOST_VALUE = 32 * 1024  # of a table, however much the state service takes: transactions are limited too
 
 
 class Gossip:
@@ -20,21 +22,31 @@
 
     def __init__(self, settings):
         self.sightings = Sightings(settings)
-        self.tables = {}  # node -> {key: (data, stamp)}
+        self.tables = {}  # node -> {key: data}
+        self.table_number = 0
         self.asked = {}  # peer -> when it was asked
+        self.asked_whole = float("-inf")
         self.inventory = {}
         self.newcomers = []
+        self.deaf_now, self.hearing_now = [], []
 
     def on_ask_peers(self):
+        """Asks peers for all machines now and then, and more often for those whose tasks wait for proof."""
         now = self.now()
-        # While a machine with tasks is silent, they wait for what the peers state.
-        anxious = any(mark[0] == "lost" and name in self.bound for name, mark in self.marks.items())
-        self.after(min(1.0, self.settings.report_s) / (4 if anxious else 1), "ask_peers")
+        often = min(1.0, self.settings.report_s) / 4
+        self.after(often, "ask_peers")
+        lost = [name for name, mark in self.marks.items() if mark == "lost" and name in self.bound]
+        whole = now - self.asked_whole >= max(1.0, self.settings.report_s / 2) - often / 2
+        if not whole and not lost:
+            return
+        if whole:
+            self.asked_whole = now
         for name, link in self.peers.items():
             if now - self.asked.get(name, -100) < 3 * self.settings.report_s:
                 continue
             self.asked[name] = now
-            link.call("POST", "/peer/heard", {}, 2 * self.settings.report_s, self.then("peer_heard", name, now))
+            link.call("POST", "/peer/heard", {} if whole else {"of": lost[:MOST_ASKED]}, 2 * self.settings.report_s,
+                      self.then("peer_heard", name, now, None if whole else frozenset(lost[:MOST_ASKED])))
 
     def on_tick(self):
         self.after(min(1.0, self.settings.report_s), "tick")
@@ -51,20 +63,37 @@
         return wire.Row(round(now - max(known.heard, known.answered), 3), report.type, report.zone, report.spot, report.session,
                         report.tally, report.notice_s is not None, known.deaf, report.addr)
 
-    def rows(self, now, within):
-        return {name: self.row(k, now) for name, k in self.known.items() if now - k.heard < within}
-
-    def on_heard(self, reply):
+    def rows(self, now, within, only=None):
+        """{machine: a Row's values} of what reported here lately, or ever if nobody has newer news of it.
+
+        Workers go from node to node: without the latter half, each node would soon tell of them all.
+        """
+        rows, view = {}, self.sightings.view
+        for name, known in self.known.items() if only is None else [(n, self.known[n]) for n in only if n in self.known]:
+            quiet = now - known.heard
+            if quiet >= within:
+                if quiet >= 10 * self.settings.lease_s:
+                    continue
+                sighting = view.get(name)
+                if sighting is not None and sighting.age > known.report.age:
+                    continue
+            report = known.report
+            rows[name] = (round(now - max(known.heard, known.answered), 3), report.type, report.zone, report.spot, report.session,
+                          report.tally, report.notice_s is not None, known.deaf, report.addr)
+        return rows
+
+    def on_heard(self, only, reply):
         """A peer asks what is known here; answered from a copy synced after the question."""
-        self.ledger.tell("sync", self.then("heard_synced", reply))
+        self.ledger.tell("sync", self.then("heard_synced", only, reply))
 
-    def on_heard_synced(self, reply, revision):
+    def on_heard_synced(self, only, reply, revision):
         now = self.now()
-        reply(200, wire.statement(now - self.born, min(1e6, now - self.contact), revision, self.rows(now, 10 * self.settings.lease_s)))
+        reply(200, wire.statement(now - self.born, min(1e6, now - self.contact), revision,
+                                  self.rows(now, 2 * self.settings.lease_s, only)))
 
-    def on_peer_heard(self, name, asked, status, body):
+    def on_peer_heard(self, name, asked, only, status, body):
         self.asked.pop(name, None)
-        if status == 200 and not self.sightings.hear(name, asked, self.now(), body):
+        if status == 200 and not self.sightings.hear(name, asked, self.now(), body, only):
             log.info("%s made an odd statement; it is asked again", name)
 
     def soon_inventory(self):
@@ -79,12 +108,18 @@
             log.info("%d machines begin to report here: %s%s", len(self.newcomers), " ".join(self.newcomers[:8]),
                      " and others" if len(self.newcomers) > 8 else "")
             self.newcomers = []
+        for names, text in ((self.deaf_now, "%d machines lost their lease although they were answered; they get no work until they hear us: %s%s"),
+                            (self.hearing_now, "%d machines hear us again: %s%s")):
+            if names:
+                log.info(text, len(names), " ".join(names[:8]), " and others" if len(names) > 8 else "")
+                names.clear()
         self.tell_inventory()
 
     def tell_inventory(self):
         now = self.now()
         for name in [n for n, k in self.known.items() if now - k.heard > 10 * self.settings.lease_s]:
             del self.known[name]
+        self.sent_home = {name: at for name, at in self.sent_home.items() if now - at < 4 * self.settings.lease_s}
         self.sightings.forget_old(now)
         fresh = 3 * self.settings.report_s + 1
         if self.sightings.missing_peers(now):
@@ -103,18 +138,20 @@
         self.keeper.tell("inventory", inventory)
 
     def on_silence(self, reply, marked=False):
-        """`reply({machine: (heard, proven over, deaf)})` for the leader; of marked machines only if so asked."""
+        """`reply({machine: (heard, proven over, deaf, whether it ever was)}, slack)` for the leader; of marked
+        machines only if so asked. Who was never heard counts from when this process began."""
         now = self.now()
         result = {}
-        # Tables are older than what a peer would answer; that is not the machines' silence.
+        # Tables are older than what a peer would answer; that is not the machines' silence. Nor is it a
+        # sign of life.
         slack = TABLE_S if self.sightings.missing_peers(now) else 0.0
         for name in sorted(set(self.marks) if marked else set(self.sightings.view) | set(self.bound) | set(self.marks)):
-            sighting, known, mark = self.sightings.view.get(name), self.known.get(name), self.marks.get(name)
+            sighting, known, mark = self.sightings.view.get(name), self.known.get(name), self.marks.of.get(name)
             own = max(known.heard, known.answered) if known else self.born
-            heard = min(now, slack + (sighting.heard if sighting is not None else self.born))
+            heard = sighting.heard if sighting is not None else self.born
             proven = mark is not None and self.sightings.proven_over(name, own, mark[1], mark[2], now)
-            result[name] = (heard, proven, sighting is not None and sighting.row.deaf)
-        reply(result)
+            result[name] = (heard, proven, sighting is not None and sighting.row.deaf, sighting is not None)
+        reply(result, slack)
 
     # --- tables in the state service
 
@@ -127,34 +164,39 @@
         now = self.now()
         types, zones = sorted(self.types), self.settings.zones
         places = [{}]
-        room = self.settings.value_bytes - 1024
-        for name, row in self.rows(now, self.settings.lease_s).items():
-            short = [row.age_s, types.index(row.type) if row.type in types else row.type,
-                     zones.index(row.zone) if row.zone in zones else row.zone, int(row.spot), row.session, row.tally,
-                     int(row.notice), int(row.deaf), row.addr]
+        most = min(self.settings.value_bytes, MOST_VALUE) - 1024
+        room = most
+        for name, (age_s, kind, zone, spot, session, tally, notice, deaf, addr) in self.rows(now, 2 * self.settings.lease_s).items():
+            short = [age_s, types.index(kind) if kind in types else kind, zones.index(zone) if zone in zones else zone, int(spot),
+                     session, tally, int(notice), int(deaf), addr]
             room -= len(orjson.dumps(short)) + len(name) + 4
             if room < 0:
                 places.append({})
-                room = self.settings.value_bytes - 1024
+                room = most
             places[-1][name] = short
-        first = {"d": [[*pool, round(count, 4)] for pool, count in demand.items()], "wall": self.system.wall(),
+        # The lease's number and a count: no two tables of a node share it.
+        self.table_number += 1
+        number = f"{self.incarnation}-{self.table_number}"
+        first = {"t": number, "parts": len(places) - 1, "d": [[*pool, round(count, 4)] for pool, count in demand.items()], "wall": self.system.wall(),
                  "up": now - self.born, "contact": min(1e6, now - self.contact), "rev": self.revision, "types": types, "m": places[0]}
-        self.member.tell("table", first, places[1:])
+        self.member.tell("table", first, [{"t": number, "m": rows} for rows in places[1:]])
 
     def read_table(self, node):
         parts = self.tables.get(node, {})
-        first, stamp = parts.get("n/" + node, (None, 0))
+        first = parts.get("n/" + node)
         if node == self.settings.node or first is None or not first.get("table"):
             return
         table = first["table"]
         try:
             types, zones = table["types"], self.settings.zones
+            values = [table, *(data for key, data in parts.items() if key.startswith("r/") and data["t"] == table["t"])]
+            if len(values) != table["parts"] + 1:
+                return  # the rest is on its way; a row that is missing would pass for a machine never heard
             rows = {}
-            for data, part_stamp in [(table, stamp), *(row for key, row in parts.items() if key.startswith("r/"))]:
-                if part_stamp == stamp:
-                    for name, (age_s, kind, zone, *rest) in data["m"].items():
-                        rows[name] = [age_s, types[kind] if isinstance(kind, int) else kind,
-                                      zones[zone] if isinstance(zone, int) else zone, *rest]
+            for data in values:
+                for name, (age_s, kind, zone, *rest) in data["m"].items():
+                    rows[name] = [age_s, types[kind] if isinstance(kind, int) else kind,
+                                  zones[zone] if isinstance(zone, int) else zone, *rest]
             body = {"up": table["up"], "contact": table["contact"], "rev": table["rev"], "known": rows}
             self.sightings.read_table(node, self.now(), self.system.wall() - table["wall"], body)
         except (KeyError, TypeError, ValueError, IndexError) as error:
--- a/emberglade/agents/sightings.py
+++ b/emberglade/agents/sightings.py
@@ -36,6 +36,7 @@
     contact_s: float
     revision: int | None
     known: dict
+    hearing: int = 0  # machines that had reported to that node just before
 
     def last_heard(self, machine):
         """The latest moment at which that node may have heard or answered the machine.
@@ -51,6 +52,7 @@
         self.settings = settings
         self.view = {}  # machine -> Sighting
         self.told = {}  # peer -> Statement, asked for directly
+        self.brief = {}  # peer -> (machines asked about, Statement of only them)
         self.written = {}  # peer -> Statement, out of its table
         self.moments = deque(maxlen=400)  # (a sync was sent, the revision it brought)
         self.absent = {}  # peer -> since when its key is missing
@@ -67,12 +69,18 @@
             old.heard = heard
         return False
 
-    def hear(self, peer, asked, got, body):
-        """A peer's answer; False if it is odd."""
+    def hear(self, peer, asked, got, body, only=None):
+        """A peer's answer, of all machines or of those asked about; False if it is odd."""
         found = wire.read_statement(body)
         if found is None:
             return False
-        self.told[peer] = statement = Statement(asked, got, *found)
+        lately = 2 * self.settings.report_s
+        statement = Statement(asked, got, *found, sum(row.age_s < lately for row in found[3].values()))
+        if only is None:
+            self.told[peer] = statement
+        else:
+            # Of others it says nothing, not that they were never heard.
+            self.brief[peer] = only, statement
         for machine, row in statement.known.items():
             self.see(machine, row, got - row.age_s)
         return True
@@ -128,7 +136,9 @@
         last, covered = own_heard, now
         for peer in self.settings.peers:
             # (the latest moment at which this node may have answered, up to when that is known)
-            said = [(s.last_heard(machine), s.asked) for s in (self.told.get(peer.name), self.written.get(peer.name))
+            only, brief = self.brief.get(peer.name, ((), None))
+            said = [(s.last_heard(machine), s.asked)
+                    for s in (self.told.get(peer.name), self.written.get(peer.name), brief if machine in only else None)
                     if s is not None and s.revision is not None and s.revision >= mark_stamp]
             gone = self.absent.get(peer.name)
             if gone is not None:
--- a/emberglade/agents/wire.py
+++ b/emberglade/agents/wire.py
@@ -114,6 +114,12 @@
     return [fact for fact in data if isinstance(fact, list) and len(fact) > 3 and fact[0] in FACTS] if isinstance(data, list) else []
 
 
+def read_question(data):
+    """The machines that a peer asks about, or None for all."""
+    names = data.get("of") if isinstance(data, dict) else None
+    return [name for name in names if isinstance(name, str)] if isinstance(names, list) else None
+
+
 class Row(NamedTuple):
     """One machine in a node's statement; `age_s` as of when the statement was made."""
 
@@ -129,7 +135,7 @@
 
 
 def statement(up_s, contact_s, revision, rows):
-    return {"up": up_s, "contact": contact_s, "rev": revision, "known": {name: list(row) for name, row in rows.items()}}
+    return {"up": up_s, "contact": contact_s, "rev": revision, "known": rows}
 
 
 def read_statement(data):
--- a/emberglade/config/platform.py
+++ b/emberglade/config/platform.py
@@ -72,9 +72,11 @@
         """How long a node without the state service may answer workers.
 
         After a cancellation was told, its tasks must be gone in `cancel_s`. A worker that is
-        answered by a node which can't know of it lives on, and then for a lease.
+        answered by a node which can't know of it lives on, and then for a lease, counted from when
+        its report was sent; a tenth of one is spare. The longer, the better: a zone that is cut off
+        works on while its node answers.
         """
-        return max(self.lease_s / 4, self.cancel_s - self.lease_s * 1.5)
+        return max(self.lease_s / 4, self.cancel_s - self.lease_s * 1.1)
 
 
 class _Table:
--- a/emberglade/fleet/steward.py
+++ b/emberglade/fleet/steward.py
@@ -16,6 +16,7 @@
 from ..state import wire as state_wire
 from ..state.ledger import DECISIONS
 from . import wire
+from .marks import Marks
 
 log = logging.getLogger("emberglade.fleet")
 
@@ -54,7 +55,7 @@
         self.leading = False
         self.types = {}
         self.catalog_asked = -1e9
-        self.marks = {}  # machine -> (mark, stamp)
+        self.marks = Marks()
         self.tables = {}
         self.machines = {}
         self.sizers = {}
@@ -64,7 +65,8 @@
         self.renting = {}  # request -> (type, zone, spot, count)
         self.returning = set()
         self.returned = {}  # machine -> when the cloud's 200 came
-        self.marking = set()
+        self.wishes = {}  # machine -> the mark that it is to have
+        self.marking = {}  # those that are being written
         self.listing = False
         self.list_found = []
         self.list_asked = 0.0
@@ -85,13 +87,11 @@
     def on_changed(self, events, revision, whole):
         self.loaded = True
         if whole:
-            self.marks, self.lead = {}, None
+            self.lead = None
+            self.marks.forget()
         for key, data, stamp in events:
             if key.startswith("m/"):
-                if data is None:
-                    self.marks.pop(key[2:], None)
-                else:
-                    self.marks[key[2:]] = (data.get("mark"), stamp)
+                self.marks.apply(key, data, stamp, self.now())
             elif key == "lead":
                 self.lead = None if data is None else (data.get("node"), data.get("inc"), stamp)
             elif key == "catalog" and data is not None:
@@ -112,7 +112,8 @@
         log.info("leading: the demand history and the weights start anew")
         self.since = self.now()
         self.machines, self.sizers, self.targets = {}, {}, {}
-        self.renting, self.returning, self.returned, self.marking = {}, set(), {}, set()
+        self.renting, self.returning, self.returned = {}, set(), {}
+        self.wishes, self.marking = {}, {}
         self.refused = {}
         self.list_found, self.listing = [], False
         self.listed_once = False
@@ -148,7 +149,7 @@
     def on_watch(self):
         """Tasks of a silent machine wait for its lease to be proven over: that is asked more often."""
         self.after(self.settings.report_s / 6, "watch")
-        if self.leading and any(mark == "lost" and name in self.occupied for name, (mark, _) in self.marks.items()):
+        if self.leading and any(mark == "lost" and name in self.occupied for name, mark in self.marks.items()):
             self.desk.tell("silence", self.then("silent"), True)
 
     def count_demand(self, now):
@@ -201,7 +202,7 @@
             names.add(row.name)
             machine = self.machines.get(row.name)
             if machine is None:
-                if row.name in self.returned or self.marks.get(row.name, ("",))[0] == "gone":
+                if row.name in self.returned or self.marks.get(row.name) == "gone":
                     continue
                 machine = self.machines[row.name] = Machine(row.name, row.type, row.zone, row.spot, now - row.age_s)
             machine.listed, machine.missing = True, 0
@@ -215,9 +216,8 @@
                     del self.machines[machine.name]
         for name in [n for n, at in self.returned.items() if now - at > 20 * self.settings.list_lag_s]:
             del self.returned[name]
-        gone = [name for name, (mark, _) in self.marks.items()
-                if mark == "gone" and name not in names and name not in self.occupied and name not in self.returned]
-        self.mark(gone[:8], None)
+        self.mark([name for name, mark in self.marks.items()
+                   if mark == "gone" and name not in names and name not in self.occupied and name not in self.returned], None)
         self.listed_once = True
 
     def on_occupancy(self, occupied):
@@ -231,13 +231,13 @@
 
     # --- machines that fall silent
 
-    def on_silent(self, silence):
+    def on_silent(self, silence, slack):
         if not self.leading:
             return
         now = self.now()
         lost, ended, back = [], [], []
-        for name, (heard, proven, deaf) in silence.items():
-            mark = self.marks.get(name, (None, 0))[0]
+        for name, (heard, proven, deaf, ever) in silence.items():
+            mark = self.marks.get(name)
             machine = self.machines.get(name)
             if machine is not None and heard > machine.seen and now - heard < self.settings.lease_s:
                 machine.seen = heard
@@ -245,11 +245,12 @@
             if machine is not None:
                 machine.deaf_since = (machine.deaf_since or now) if deaf else None
             quiet = now - heard
-            if mark is None and ((quiet > self.settings.lease_s * 0.6 and name in self.occupied) or deaf):
+            if mark is None and ((quiet > self.settings.lease_s * 0.6 + slack and name in self.occupied) or deaf):
                 lost.append(name)
             elif mark in ("lost", "drain") and proven and name in self.occupied:
                 ended.append(name)
-            elif mark in ("lost", "ended") and quiet < self.settings.report_s * 2 and not deaf:
+            elif mark in ("lost", "ended") and ever and quiet < self.settings.report_s * 2 and not deaf:
+                # Once broken: a new leader took its own birth for a sign of life of the machines behind a cut.
                 if mark == "lost" or name not in self.occupied:
                     back.append(name)
             elif mark in ("lost", "ended") and machine is None and name not in self.occupied and quiet > 6 * self.settings.lease_s:
@@ -257,30 +258,49 @@
         for names, mark, text in ((lost, "lost", "no node is in touch with %s; nothing more is placed there"),
                                   (ended, "ended", "the leases of %s have run out; their tasks move"),
                                   (back, None, "%s may be used again")):
-            names = [name for name in names if name not in self.marking]
+            names = [name for name in names if name not in self.marking and name not in self.wishes]
             if names:
                 log.info(text, some(names))
                 self.mark(names, mark)
 
     def mark(self, names, mark):
-        names = [name for name in names if name not in self.marking][:self.settings.txn_ops]
-        if not names:
+        """Wishes for a mark. A machine has one wish at a time, so each is for the mark that it was seen with."""
+        self.wishes.update((name, mark) for name in names if name not in self.marking and (mark == "gone" or name not in self.wishes))
+        self.write_marks()
+
+    def write_marks(self):
+        """One transaction at a time, of all machines that anything is wished for: keys hold many marks."""
+        if self.marking or not self.wishes or not self.leading:
+            return
+        values, self.marking = self.marks.with_changes(self.wishes, self.settings.value_bytes, self.settings.txn_ops)
+        if not self.marking:
             return
-        self.marking.update(names)
-        conditions = [(LIVE + "lead", self.lead[2])] + [(f"{LIVE}m/{n}", self.marks.get(n, (None, 0))[1]) for n in names]
-        writes = [state_wire.remove(f"{LIVE}m/{n}") if mark is None else state_wire.put(f"{LIVE}m/{n}", {"mark": mark}) for n in names]
-        self.ledger.tell("commit", DECISIONS, conditions, writes, self.then("marked", names))
+        for name in self.marking:
+            del self.wishes[name]
+        conditions = [(LIVE + "lead", self.lead[2])] + [(LIVE + key, stamp) for key, (stamp, _) in values.items()]
+        writes = [state_wire.put(LIVE + key, marks) for key, (_, marks) in values.items()]
+        self.ledger.tell("commit", DECISIONS, conditions, writes, self.then("marked", self.lead))
 
-    def on_marked(self, names, status, revision, failed):
-        self.ledger.tell("sync", self.then("mark_seen", names))
+    def on_marked(self, lead, status, revision, failed):
+        self.ledger.tell("sync", self.then("mark_seen", lead, status))
 
-    def on_mark_seen(self, names, revision):
-        self.marking.difference_update(names)
+    def on_mark_seen(self, lead, status, revision):
+        if self.lead != lead:
+            return
+        if revision is None:
+            # The copy may not show what was written; the next marks are worked out from it.
+            self.after(0.5, "marked", lead, status, None, None)
+            return
+        marking, self.marking = self.marking, {}
+        if status != 200:
+            # Others are wished for again as long as they are due; this one is the proof that came once.
+            self.wishes.update((name, mark) for name, mark in marking.items() if mark == "gone" and self.marks.get(name) != "gone")
+        self.write_marks()
 
     # --- the round: draw, rent, return
 
     def counted(self, machine):
-        return machine.state != "failed" and self.marks.get(machine.name, (None,))[0] is None and machine.name not in self.returning
+        return machine.state != "failed" and self.marks.get(machine.name) is None and machine.name not in self.returning
 
     def round(self, now, total):
         young = now - self.since < 300
@@ -413,7 +433,7 @@
         """Returns drained machines, boots that failed, and machines that stopped or stay silent."""
         ready, drain = [], []
         for machine in self.machines.values():
-            mark = self.marks.get(machine.name, (None,))[0]
+            mark = self.marks.get(machine.name)
             if machine.name in self.returning or mark == "gone":
                 continue
             boot = (self.types[machine.type].boot_s if machine.type in self.types else 0) or self.operators.boot_guess_s
--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -8,6 +8,7 @@
 import math
 
 from .. import placement
+from ..fleet.marks import Marks
 from ..membership import shard_count
 from ..state import LIVE, OVER, Follower
 from ..state import wire as state_wire
@@ -40,7 +41,7 @@
         self.jobs = {}
         self.loose_parts = {}  # parts seen before their job: {job: {number: (data, stamp)}}
         self.holders = {}  # shard -> (node, incarnation, stamp)
-        self.marks = {}  # machine -> mark
+        self.marks = Marks()
         self.types = {}
         self.inventory = {}  # machine -> placement.Machine
         self.dirty = {}  # key -> when it should be written
@@ -54,6 +55,7 @@
         self.errors = {}  # job -> machines on which a task of it ended in error
         self.loaded = False
         self.desk = None  # set when the node is put together
+        self.fresh_marks = set()  # machines whose marks came with the change at hand
         self.remains = {}  # parts of jobs that are over: {key: stamp}
         self.loose_since = {}
 
@@ -69,11 +71,15 @@
             seen = {key for key, data, _ in events if data is not None}
             for job_id in [j for j in self.jobs if job_key(j) not in seen]:
                 self.drop(job_id)
+            self.marks.forget()
         for event in events:
             if event[0] in self.deferred:
                 self.deferred[event[0]].append(event)
             else:
                 self.absorb(*event)
+        if self.fresh_marks:
+            machines, self.fresh_marks = self.fresh_marks, set()
+            self.obey_marks(machines)
         self.soon_place()
 
     def absorb(self, key, data, stamp):
@@ -118,11 +124,7 @@
             else:
                 self.holders[int(key[2:])] = (data.get("node"), data.get("inc"), stamp)
         elif key.startswith("m/"):
-            if data is None:
-                self.marks.pop(key[2:], None)
-            else:
-                self.marks[key[2:]] = data.get("mark")
-                self.marked(key[2:])
+            self.fresh_marks.update(self.marks.apply(key, data, stamp, self.now()))
         elif key == "catalog" and data is not None:
             self.types = placement.read_types(data)
 
@@ -171,6 +173,7 @@
 
     def on_inventory(self, machines):
         self.inventory = machines
+        self.open_machines = {name for name, machine in machines.items() if machine.open}
         self.room.inventory(machines)
         self.images.keep_only(machines)
         self.soon_place()
@@ -232,17 +235,24 @@
             part.tried[task] = attempt
             self.touch(job, task)
 
-    def marked(self, machine):
-        mark = self.marks.get(machine)
-        for (_, task), (job, bound) in list(self.room.on.get(machine, {}).items()):
-            if not self.mine(job):
-                continue
-            if mark in ("ended", "gone"):
-                log.info("%s moves: %s is %s", task_name(job.id, task), machine, mark)
-                self.release(job, task, bound.attempt, machine)
-                self.settle(job)
-            elif mark == "drain" and bound.stop == KEEP:
-                self.stop(job, task, SAVE, "its machine is drained")
+    def obey_marks(self, machines):
+        """Moves own tasks off machines whose leases are proven over, and stops them where it drains."""
+        moved = {}
+        for machine in machines:
+            mark = self.marks.get(machine)
+            for (_, task), (job, bound) in list(self.room.on.get(machine, {}).items()):
+                if not self.mine(job):
+                    continue
+                if mark in ("ended", "gone"):
+                    moved.setdefault(machine, []).append(task_name(job.id, task))
+                    self.release(job, task, bound.attempt, machine)
+                    self.settle(job)
+                elif mark == "drain" and bound.stop == KEEP:
+                    self.stop(job, task, SAVE, "its machine is drained")
+        if moved:
+            log.info("%d tasks of %d machines move, whose leases are over: %s", sum(map(len, moved.values())), len(moved),
+                     ", ".join(f"{machine} ({' '.join(names)})" for machine, names in list(moved.items())[:4])
+                     + (" and more" if len(moved) > 4 else ""))
 
     def on_stop(self, job_id, task, attempt, how, reason):
         """Another slice or node wants this attempt stopped: a spot notice, or room for others."""
@@ -299,10 +309,13 @@
         self.flush_at = float("inf")
         if self.flight is not None or not self.dirty:
             return
+        if self.place_due and self.now() >= self.placed_at:
+            # What has just become free or loose is placed first: one write a job instead of two.
+            self.on_place()
         now = self.now()
         conditions, writes, keys, size = {}, [], {}, 0
         ends = []
-        for key in sorted((key for key, due in self.dirty.items() if due <= now), key=lambda key: (self.dirty[key], key)):
+        for key in sorted((key for key, due in self.dirty.items() if due <= now), key=self.turn_to_write):
             job_id = key.split("/")[1]
             job = self.jobs.get(job_id)
             if job is None or not self.mine(job):
@@ -337,6 +350,12 @@
         self.deferred = {key: [] for key in keys}
         self.ledger.tell("commit", DECISIONS, list(conditions.items()), writes, self.then("flushed", ends))
 
+    def turn_to_write(self, key):
+        """When a third of the machines is lost, nearly every job has to be written: higher ranks go a
+        little ahead, and nobody waits for ever."""
+        job = self.jobs.get(key.split("/")[1])
+        return self.dirty[key] + (job.spec.rank if job is not None else 0) * self.settings.report_s / 4, key
+
     def on_flushed(self, ends, status, revision, failed):
         if status == 200 and revision is not None:
             self.most_writes = min(self.settings.txn_ops, 2 * self.most_writes)
@@ -464,9 +483,7 @@
         self.after(0.5, "tick")
         for job in list(self.jobs.values()):
             self.settle(job)
-        for machine, mark in self.marks.items():
-            if mark in ("ended", "gone") and machine in self.room.on:
-                self.marked(machine)
+        self.obey_marks([machine for machine, mark in self.marks.items() if mark in ("ended", "gone") and machine in self.room.on])
         self.sweep()
         if self.flight is None:
             self.drop_remains()
--- a/emberglade/jobs/placer.py
+++ b/emberglade/jobs/placer.py
@@ -4,7 +4,7 @@
 import math
 
 from .. import placement
-from .record import KEEP, SAVE, Bound
+from .record import SAVE, Bound
 
 log = logging.getLogger("emberglade.jobs")
 
@@ -18,7 +18,9 @@
     def __init__(self, settings):
         self.room = placement.Room(settings.teams)
         self.images = placement.ImageCaches()
-        self.guaranteed = set()  # jobs within their team's guarantee, as of the last round
+        self.open_machines = set()
+        self.guaranteed = set()  # jobs within their team's guarantee, worked out a few times a report interval
+        self.guaranteed_at = float("-inf")
         self.suspects = {}  # machine -> (until, errors)
         self.asked = {}  # (job, task, attempt) -> when its holder was asked to stop it
 
@@ -30,6 +32,8 @@
             self.after(max(0.05, self.placed_at - self.now()), "place")
 
     def on_place(self):
+        if not self.place_due:
+            return  # played already, before a flush
         self.place_due = False
         now = self.now()
         if not self.loaded or not self.types or self.flight is not None:
@@ -37,11 +41,9 @@
         waiting = [job for job in self.jobs.values() if not job.withdrawn and job.waiting_count()]
         if not any(self.mine(job) for job in waiting):
             return
-        turn = placement.Round(
-            self.room,
-            {name for name, machine in self.inventory.items()
-             if name not in self.marks and self.suspects.get(name, (0, 0))[0] <= now and machine.open},
-            self.images)
+        usable = self.open_machines.difference(self.marks.of)
+        usable.difference_update([name for name, (until, _) in self.suspects.items() if until > now])
+        turn = placement.Round(self.room, usable, self.images)
         try:
             self.play(now, waiting, turn)
         finally:
@@ -57,7 +59,9 @@
         teams = self.settings.teams
         starving = {job.id for job in waiting if self.starves(job, wall)}
         waiting.sort(key=lambda job: (job.id not in starving, placement.order(job.spec, self.settings.objectives, wall)))
-        self.guaranteed = placement.preempt.guaranteed((job for job in self.jobs.values() if not job.withdrawn), teams)
+        if now - self.guaranteed_at > self.settings.report_s / 5:
+            self.guaranteed_at = now
+            self.guaranteed = placement.preempt.guaranteed((job for job in self.jobs.values() if not job.withdrawn), teams)
         ahead = placement.headroom(self.jobs.values(), self.settings.objectives, self.types, wall)
         budget = self.settings.txn_ops * 4 * self.size
         played = {}  # other holders' jobs -> tasks that room was taken for
@@ -126,17 +130,14 @@
             return
         room, teams = self.room, self.settings.teams
         pressing = [job for job in waiting if self.mine(job) and job.waiting_count() and self.pressing(job, now)]
-        own = [(job, [other for other in self.jobs.values() if other is not job and other.bound_count()
-                      and placement.preempt.may_stop(job.spec, other.spec, room, teams)]) for job in pressing]
-        own = [(job, victims) for job, victims in own if victims]
+        own = [job for job in pressing if any(
+            placement.preempt.may_stop(job.spec, other.spec, room, teams) and other is not job and other.bound_count()
+            for other in self.jobs.values())]
         if not own:
             return
         self.preempted_at = now
         self.asked = {key: at for key, at in self.asked.items() if now - at < 2 * self.settings.report_s}
 
-        def stopping(row):
-            return row[2].stop != KEEP or row[0].withdrawn or (row[0].id, row[1], row[2].attempt) in self.asked
-
         def fresh(row):
             # A start that is stopped within 30 s does not count as one for its user.
             return now - row[2].since < 30
@@ -150,10 +151,18 @@
             bound = job.part(task).bound.get(task) if job is not None else None
             if bound is not None and bound.attempt == attempt and not bound.stop and not job.withdrawn:
                 turn.give(job.spec, bound.machine)
+        rows = {}  # machine -> what may be stopped there, the cheapest first
+        kinds = list({(job.spec.rank, job.spec.team): job.spec for job in own}.values())
+        for job in self.jobs.values():
+            if job.withdrawn or not any(placement.preempt.may_stop(spec, job.spec, room, teams) for spec in kinds):
+                continue
+            for task, bound in job.bound():
+                if not bound.stop and (job.id, task, bound.attempt) not in self.asked:
+                    rows.setdefault(bound.machine, []).append((job, task, bound))
+        for there in rows.values():
+            there.sort(key=lambda row: placement.preempt.turn_to_go(row, fresh(row)))
         most = 16  # each costs a look at all machines; the next round comes soon
-        for job, victim_jobs in own:
-            rows = [(other, task, bound) for other in victim_jobs for task, bound in other.bound()
-                    if not stopping((other, task, bound))]
+        for job in own:
             for _ in range(min(job.waiting_count(), 64)):
                 if not room.more_within_limit(job.spec):
                     victims = placement.preempt.for_limit(job.spec, rows, room, teams, fresh)
@@ -166,7 +175,7 @@
                     if not victims:
                         break
                 for row in victims:
-                    rows.remove(row)
+                    rows[row[2].machine].remove(row)
                     turn.give(row[0].spec, row[2].machine)
                     self.ask_stop(now, row, f"room for {job.id}")
                 turn.fill(job, 1)
--- a/emberglade/jobs/record.py
+++ b/emberglade/jobs/record.py
@@ -171,10 +171,16 @@
             yield from part.bound.items()
 
     def bound_count(self):
-        return sum(len(part.bound) for part in self.parts.values())
+        count = 0
+        for part in self.parts.values():
+            count += len(part.bound)
+        return count
 
     def done_count(self):
-        return sum(len(part.done) for part in self.parts.values())
+        count = 0
+        for part in self.parts.values():
+            count += len(part.done)
+        return count
 
     def finished(self):
         # A withdrawn job stays withdrawn, also if its last tasks complete before they are stopped.
@@ -203,7 +209,10 @@
         return found
 
     def waiting_count(self):
-        return self.spec.tasks - self.done_count() - self.bound_count()
+        count = self.spec.tasks
+        for part in self.parts.values():
+            count -= len(part.done) + len(part.bound)
+        return count
 
     def encode(self):
         data = {"s": self.spec.encode(), "z": self.size}
--- a/emberglade/membership/member.py
+++ b/emberglade/membership/member.py
@@ -7,6 +7,8 @@
 
 import logging
 
+import orjson
+
 from ..state import LIVE, Follower
 from ..state import wire as state_wire
 from ..state.ledger import DECISIONS
@@ -14,6 +16,7 @@
 log = logging.getLogger("emberglade.membership")
 
 SHARDS_PER_NODE = 4
+TRANSACTION_BYTES = 48 * 1024  # PROTOCOL's 64 KiB, less keys, names of fields and some room
 
 
 def shard_count(settings):
@@ -30,7 +33,8 @@
         self.nodes, self.shards, self.lead = {}, {}, None
         self.loaded = False
         self.table, self.further = None, []
-        self.further_keys = 0
+        self.parts = []  # further values of the table that are still to be written
+        self.parts_kept = 0  # so many keys of further values may be there
         self.busy_shards = False
         self.busy_lead = False
         self.busy_key = False
@@ -78,27 +82,57 @@
         self.key_dirty = True
         self.write_key()
 
+    def chunk(self):
+        """Takes as many further values as one transaction holds besides what is already in it."""
+        size, chunk = 0, []
+        while self.parts and len(chunk) < self.settings.txn_ops - 1:
+            size += len(orjson.dumps(self.parts[0][1]))
+            if chunk and size > TRANSACTION_BYTES - self.settings.value_bytes:
+                break
+            chunk.append(self.parts.pop(0))
+        return chunk
+
     def write_key(self):
         if self.busy_key or self.lease is None or not self.key_dirty:
             return
         self.busy_key, self.key_dirty = True, False
-        me = self.settings.node
-        data = {"inc": self.incarnation, "table": self.table}
-        self.further_keys = max(self.further_keys, len(self.further))
-        # Values are limited, so a long table takes several keys, written together.
-        further = self.further + [{}] * (self.further_keys - len(self.further))
-        writes = [state_wire.put(LIVE + "n/" + me, data, self.lease)]
-        writes += [state_wire.put(f"{LIVE}r/{me}/{n}", {"m": rows}, self.lease) for n, rows in enumerate(further)]
-        self.ledger.tell("commit", DECISIONS, [], writes[:self.settings.txn_ops], self.then("key_written", self.lease))
+        # Values and transactions are limited, so a long table takes several keys and perhaps several
+        # transactions; who reads it waits until all parts of one number are there.
+        spare = max(0, self.parts_kept - len(self.further))
+        self.parts_kept = len(self.further)
+        self.parts = list(enumerate(self.further))
+        writes = [state_wire.put(LIVE + "n/" + self.settings.node, {"inc": self.incarnation, "table": self.table}, self.lease)]
+        writes += [state_wire.remove(f"{LIVE}r/{self.settings.node}/{n}")
+                   for n in range(len(self.further), len(self.further) + spare)][:self.settings.txn_ops - 1]
+        self.write_parts(writes if spare else writes + self.puts(self.chunk()))
+
+    def puts(self, chunk):
+        return [state_wire.put(f"{LIVE}r/{self.settings.node}/{n}", data, self.lease) for n, data in chunk]
+
+    def write_parts(self, writes):
+        self.ledger.tell("commit", DECISIONS, [], writes, self.then("key_written", self.lease))
 
     def on_key_written(self, lease, status, revision, failed):
+        if status == 200 and self.parts and lease == self.lease and not self.key_dirty:
+            self.write_parts(self.puts(self.chunk()))
+            return
         self.busy_key = False
-        if status == 400 and lease == self.lease:
-            self.lease = None
-            self.on_grant()
+        if self.lost_lease(lease, status, failed):
+            return
+        if status == 400 and failed != state_wire.NO_SUCH_LEASE:
+            # Not the lease: asking for another would not help, and the next try would end the same way.
+            log.error("the state service refuses this node's table (%s); its machines are told directly only", failed)
         elif status != 200:
             self.key_dirty = True
 
+    def lost_lease(self, lease, status, failed):
+        """Takes a new lease if the transaction failed for want of one; True if it did."""
+        if status != 400 or failed != state_wire.NO_SUCH_LEASE or lease != self.lease:
+            return False
+        self.lease = None
+        self.on_grant()
+        return True
+
     # --- what the copy says
 
     def on_changed(self, events, revision, whole):
@@ -174,9 +208,8 @@
     def on_led(self, lease, status, revision, failed):
         if status == 200:
             log.info("leading from revision %s", revision)
-        elif status == 400 and lease == self.lease:
-            self.lease = None
-            self.on_grant()
+        else:
+            self.lost_lease(lease, status, failed)
         self.ledger.tell("sync", self.then("lead_seen"))
 
     def on_lead_seen(self, revision):
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -1,5 +1,6 @@
 """Puts one controller together: the actors, the links, and the two servers."""
 
+import gc
 import logging
 import threading
 import time
@@ -8,7 +9,7 @@
 import orjson
 
 from .actors import ThreadSystem
-from .agents import Desk, read_facts
+from .agents import Desk, read_facts, read_question
 from .fleet import Steward
 from .frontdoor import Door
 from .jobs import Keeper
@@ -18,6 +19,8 @@
 
 log = logging.getLogger("emberglade")
 
+MOST_THREADS = 1700  # of 2,000 that a process may have; the others are links, actors and spare
+
 @dataclass
 class Node:
     ledger: Ledger
@@ -38,7 +41,7 @@
             reply(400, {"error": "not JSON"})
             return
         if path == "/peer/heard" and method == "POST":
-            self.desk.tell("heard", reply)
+            self.desk.tell("heard", read_question(data), reply)
         elif path == "/peer/facts" and method == "POST" and isinstance(data, list):
             for fact in read_facts(data):
                 self.keeper.tell(*fact)
@@ -72,17 +75,43 @@
                            for name, (busy, count) in system.take_account().items()))
 
 
+class Sockets:
+    """Who may hold how many of the descriptors, and so of the threads."""
+
+    def __init__(self, settings):
+        every = settings.fd_limit
+        self.calls = max(1, every // 8)  # kept connections to workers, for direct commands
+        self.callers = max(2, min(every // 64, 64))  # each may wait for a machine that hangs
+        self.internal = max(2, min(every // 16, 8 * settings.size))
+        # A controller that stands alone has to hold all workers; the rest is for links, listeners and
+        # what the platform itself needs.
+        self.front = max(2, min(every * 3 // 4, MOST_THREADS - self.internal - self.callers))
+        self.users = max(1, self.front // 3)
+        if every < 64:
+            log.warning("settings.quota.fd_limit: %d is little: %d connections of workers and users, %d of peers", every,
+                        self.front, self.internal)
+
+
+def is_users(path):
+    return path.startswith("/submissions")
+
+
 def serve(settings, operators):
     threading.stack_size(256 * 1024)
+    # Records and reports hold no cycles worth speaking of; looking through all of them as often as
+    # Python does by default took a tenth of the processor at 600 machines.
+    gc.set_threshold(50_000, 20, 50)
     system = ThreadSystem()
     patience = min(settings.lease_s / 4, 3.0)
+    limits = Sockets(settings)
     node = assemble(
-        settings, operators, Link(settings.state, 6, "state-link"),
-        Link(settings.cloud, 2, "cloud-link"), {peer.name: Link(peer.address, 1, "peer-" + peer.name, 64) for peer in settings.peers},
-        Pool(4, "workers"))
-    # A quarter of the descriptors is kept for links and for what the platform itself needs.
-    front = Server(settings.front, node.door.route, patience + 0.5, settings.fd_limit // 2)
-    internal = Server(settings.internal, node.peer_route, patience, settings.fd_limit // 8)
+        settings, operators, Link(settings.state, 6, "state-link"), Link(settings.cloud, 2, "cloud-link"),
+        # Facts and questions each have a thread: neither waits for the other's long bodies.
+        {peer.name: Link(peer.address, 2, "peer-" + peer.name, 64) for peer in settings.peers},
+        Pool(limits.callers, limits.calls, "workers"))
+    idle_s = 2 * settings.lease_s
+    front = Server(settings.front, node.door.route, patience + 0.5, idle_s, limits.front, is_users, limits.users)
+    internal = Server(settings.internal, node.peer_route, patience, idle_s, limits.internal)
     for actor, name in node.actors():
         system.spawn(actor, name)
     internal.begin("internal")
--- a/emberglade/placement/preempt.py
+++ b/emberglade/placement/preempt.py
@@ -3,7 +3,7 @@
 Work of a lower rank may be stopped for work of a higher; work of a team beyond its guarantee, of
 any rank, for a team within its own. Nothing else is ever stopped to make room.
 
-A row is (job, task, bound).
+A row is (job, task, bound); `rows` are {machine: [row, ...]}, each machine's in the order in which they go.
 """
 
 from .types import SLACK
@@ -31,6 +31,10 @@
     return -spec.rank, spec.checkpoint_s <= 0, fresh
 
 
+def turn_to_go(row, fresh):
+    return cost(row[0].spec, fresh), row[0].id, row[1]
+
+
 def may_stop(spec, victim, room, teams):
     if victim.rank > spec.rank:
         return True
@@ -48,10 +52,10 @@
     use = room.team_use.get(spec.team, (0.0, 0.0))
     need = [max(0.0, use[slot] + amount - limit) if limit > 0 else 0.0
             for slot, amount, limit in ((0, spec.cpus, team.cpus_max), (1, spec.gpus, team.gpus_max))]
-    rows = sorted((row for row in rows if row[0].spec.team == spec.team and row[0].spec.rank > spec.rank),
-                  key=lambda row: (cost(row[0].spec, fresh(row)), row[0].id, row[1]))
+    own = sorted((row for there in rows.values() for row in there if row[0].spec.team == spec.team and row[0].spec.rank > spec.rank),
+                 key=lambda row: turn_to_go(row, fresh(row)))
     victims = []
-    for row in rows:
+    for row in own:
         if need[0] <= SLACK and need[1] <= SLACK:
             break
         victims.append(row)
@@ -66,29 +70,31 @@
     zones, known = room.zones_of(job)
     if not known and (spec.one_zone or spec.scatter):
         return None
-    by_machine = {}
-    for row in rows:
-        if row[2].machine in turn.usable and may_stop(spec, row[0].spec, room, teams):
-            by_machine.setdefault(row[2].machine, []).append(row)
-    best = None
-    for name, there in by_machine.items():
+    best, stoppable = None, {}
+    for name, there in rows.items():
+        if name not in turn.usable or not turn.allowed(spec, name):
+            continue
         zone = room.machines[name].zone
-        if (not turn.allowed(spec, name) or (spec.one_zone and zones and zone not in zones)
-                or (spec.scatter and zones.get(zone, 0) >= (spec.tasks + 1) // 2)):
+        if (spec.one_zone and zones and zone not in zones) or (spec.scatter and zones.get(zone, 0) >= (spec.tasks + 1) // 2):
             continue
-        there.sort(key=lambda row: (cost(row[0].spec, fresh(row)), row[0].id, row[1]))
         free, victims = list(room.free[name]), []
         for row in there:
             if room.fits(spec, free):
                 break
+            victim = row[0]
+            allowed = stoppable.get(victim.id)
+            if allowed is None:
+                allowed = stoppable[victim.id] = victim is not job and may_stop(spec, victim.spec, room, teams)
+            if not allowed:
+                continue
             victims.append(row)
-            free[0] += row[0].spec.cpus
-            free[1] += row[0].spec.gpus
-            free[2] += row[0].spec.ram
-        if not room.fits(spec, free):
+            free[0] += victim.spec.cpus
+            free[1] += victim.spec.gpus
+            free[2] += victim.spec.ram
+        if not victims or not room.fits(spec, free):
             continue
         score = (spec.image_gb > 0 and not turn.images.has(name, spec.image),
-                 max(cost(r[0].spec, fresh(r)) for r in victims) if victims else (), len(victims), name)
+                 cost(victims[-1][0].spec, fresh(victims[-1])), len(victims), name)
         if best is None or score < best[0]:
             best = (score, name, victims)
     return best[2] if best else None
--- a/emberglade/state/follower.py
+++ b/emberglade/state/follower.py
@@ -7,6 +7,7 @@
     """Told `changed(events, revision, whole)` by the ledger; subclasses set `ledger`."""
 
     incarnation = None
+    hears_contact = False  # whether it is told of every sync
 
     def on_begin(self):
         self.ledger.tell("subscribe", self)
--- a/emberglade/state/ledger.py
+++ b/emberglade/state/ledger.py
@@ -149,7 +149,8 @@
             if sent > self.contact:
                 self.contact = sent
                 for actor in self.subscribers:
-                    actor.tell("contact", sent, self.revision)
+                    if actor.hears_contact:
+                        actor.tell("contact", sent, self.revision)
         for reply in waiting:
             reply(self.revision if done else None)
         if self.sync_next:
@@ -158,10 +159,9 @@
     # --- single requests
 
     def on_commit(self, rank, conditions, writes, reply):
-        """`reply(status, revision, failed)`; keys are full names."""
+        """`reply(status, revision, failed)`; keys are full names. `failed`: the keys, or what was wrong."""
         self.send(rank, len(writes), "POST", "/txn", wire.txn(conditions, writes),
-                  lambda status, body: reply(status, wire.revision(body),
-                                             body.get("failed") if isinstance(body, dict) else None))
+                  lambda status, body: reply(status, wire.revision(body), wire.failure(body)))
 
     def on_read(self, rank, key, reply):
         """`reply(status, data, stamp)`."""
@@ -191,10 +191,10 @@
 
     def on_tick(self):
         # Unasked as well, so that what others wrote is soon seen.
-        if self.revision >= 0 and self.now() - self.sync_sent > 2.5 * self.sync_gap:
+        if self.revision >= 0 and self.now() - self.sync_sent > 3 * self.sync_gap:
             self.soon_sync()
         self.pump()
-        self.after(self.sync_gap, "tick")
+        self.after(2 * self.sync_gap, "tick")
 
     def pump(self):
         now = self.now()
--- a/emberglade/state/wire.py
+++ b/emberglade/state/wire.py
@@ -33,6 +33,14 @@
     return value if isinstance(value, int) else None
 
 
+NO_SUCH_LEASE = "no such lease"
+
+
+def failure(body):
+    """Which conditions of a transaction failed, or the error that it was refused with."""
+    return body.get("failed") or body.get("error") if isinstance(body, dict) else None
+
+
 def read_list(body):
     """([(key, data, stamp)], more, revision) or None when the body is odd."""
     if not isinstance(body, dict) or revision(body) is None or not isinstance(body.get("pairs", []), list):
--- a/emberglade/transport.py
+++ b/emberglade/transport.py
@@ -135,13 +135,17 @@
 
 
 class Pool:
-    """A few threads that carry calls to many addresses over kept connections."""
+    """Threads that carry calls to many addresses over kept connections.
 
-    CONNECTIONS = 32  # of each thread; the one used longest ago gives way
+    A machine that hangs holds a thread for a whole timeout, so there are as many as may hang together
+    while the others' calls go on.
+    """
 
-    def __init__(self, threads, name):
+    def __init__(self, threads, connections, name):
         self.jobs = queue.SimpleQueue()
-        self.threads = threads
+        self.threads, self.most = threads, connections
+        self.idle = {}  # address -> Connection; the one used longest ago gives way
+        self.lock = threading.Lock()
         for number in range(threads):
             threading.Thread(target=self._run, name=f"{name}-{number}", daemon=True).start()
 
@@ -151,20 +155,32 @@
             return
         self.jobs.put((address, method, path, body, timeout, reply))
 
+    def _take(self, address):
+        with self.lock:
+            return self.idle.pop(address, None) or Connection(parse_address(address))
+
+    def _keep(self, address, connection):
+        with self.lock:
+            spare = [self.idle.pop(address, None)]
+            if connection.sock is not None:
+                self.idle[address] = connection
+            if len(self.idle) > self.most:
+                spare.append(self.idle.pop(next(iter(self.idle))))
+        for old in spare:
+            if old is not None:
+                old.close()
+
     def _run(self):
-        connections = {}
         while True:
             address, method, path, body, timeout, reply = self.jobs.get()
-            connection = connections.pop(address, None) or Connection(parse_address(address))
-            connections[address] = connection
-            if len(connections) > self.CONNECTIONS:
-                connections.pop(next(iter(connections))).close()
+            connection = self._take(address)
             try:
                 status, data = connection.request(method, path, body, timeout)
             except (OSError, ValueError, IndexError) as error:
                 log.debug("%s %s at %s: %s", method, path, address, error)
                 connection.close()
                 status, data = NO_ANSWER, None
+            self._keep(address, connection)
             reply(status, data)
 
 
@@ -178,10 +194,19 @@
     """Feeds requests to `server.route(method, path, body, reply)` and waits for its answer."""
 
     protocol_version = "HTTP/1.1"
-    timeout = 120
+    counted = False  # among the connections of the server's `sparing` kind
     disable_nagle_algorithm = True
     wbufsize = 0
 
+    def setup(self):
+        self.timeout = self.server.idle_s
+        super().setup()
+
+    def finish(self):
+        if self.counted:
+            self.server.leave()
+        super().finish()
+
     def handle_one_request(self):
         # http.server parses headers with the e-mail package, which costs more than all the
         # rest of a report; only two headers matter here.
@@ -218,6 +243,11 @@
             body = self.rfile.read(length) if length else b""
             if len(body) < length:
                 return
+            if not self.counted and self.server.sparing(path):
+                if not self.server.enter():
+                    self._answer(503, {"error": "too many connections here; ask again"}, 1)
+                    return
+                self.counted = True
             status, data, retry = self.server.serve(method, path, body)
             self.close_connection = not keep
             self._answer(status, data, retry)
@@ -234,18 +264,31 @@
 
 
 class Server(ThreadingHTTPServer):
-    """`route(method, path, body, reply)` must lead to one `reply(status, data, retry_after)`."""
+    """`route(method, path, body, reply)` must lead to one `reply(status, data, retry_after)`.
+
+    At most `most` connections are open. Those on which a path came that is `sparing` are at most
+    `most_sparing` of them: past that they are told so and closed, and the rest stays for the others.
+    """
 
     daemon_threads = True
-    request_queue_size = 128
     allow_reuse_address = True
 
-    def __init__(self, address, route, patience, most):
+    def __init__(self, address, route, patience, idle_s, most, sparing=lambda path: False, most_sparing=0):
         self.route = route
-        self.patience = patience
+        self.patience, self.idle_s = patience, idle_s
         self.slots = threading.BoundedSemaphore(most)
+        self.sparing = sparing
+        self.sparing_slots = threading.BoundedSemaphore(most_sparing)
+        # After the end of another controller all its workers come at once.
+        self.request_queue_size = max(16, most // 2)
         super().__init__(address, Handler)
 
+    def enter(self):
+        return self.sparing_slots.acquire(blocking=False)
+
+    def leave(self):
+        self.sparing_slots.release()
+
     def server_bind(self):
         # Without HTTPServer's name look-up: there is no name service.
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/tests/stand_ins/cloud.py
+++ b/tests/stand_ins/cloud.py
@@ -4,6 +4,8 @@
 
 import orjson
 
+from emberglade.transport import NO_ANSWER
+
 REPORT_TIMEOUT_S = 4.0
 
 
@@ -79,6 +81,17 @@
             machine.end()
             machine.listed = False
 
+    def die(self, count):
+        """Machines stop with all that is on them; the list shows them for a while."""
+        up = [m for m in self.machines.values() if m.up and m.listed]
+        for machine in self.world.random.sample(up, min(count, len(up))):
+            machine.end()
+
+    def hang(self, count, seconds):
+        up = [m for m in self.machines.values() if m.up and m.listed]
+        for machine in self.world.random.sample(up, min(count, len(up))):
+            machine.hang(seconds)
+
     def take_back(self, share, notice_s):
         spots = [m for m in self.machines.values() if m.spot and m.listed and m.up]
         for machine in spots[:max(1, int(len(spots) * share))]:
@@ -106,6 +119,7 @@
         self.last_sent = -10.0
         self.serial = 0
         self.faulty = False
+        self.hung, self.held = False, []
 
     def row(self, now):
         return {"id": self.name, "addr": self.name + ":9000", "hearth_kind": self.type["label"], "glade": self.zone,
@@ -121,7 +135,9 @@
         self.check_lease()
 
     def handle(self, method, path, body, source, reply):
-        if path == "/commands":
+        if self.hung:
+            self.held.append((method, path, body, source, reply))
+        elif path == "/commands":
             data = orjson.loads(body)
             if "torch" not in data or "kindling_span" not in data:
                 reply(400, {})
@@ -135,6 +151,20 @@
         else:
             reply(200, self.report())
 
+    def hang(self, seconds):
+        """Executes nothing and answers nobody; then goes on with what came meanwhile."""
+        self.hung = True
+        self.world.at(seconds, self.go_on)
+
+    def go_on(self):
+        self.hung = False
+        if self.dead:
+            return
+        self.expire()
+        held, self.held = self.held, []
+        for request in held:
+            self.handle(*request)
+
     def end(self):
         self.dead, self.up = True, False
         self.world.hosts.pop(self.name, None)
@@ -149,6 +179,11 @@
     def check_lease(self):
         if self.dead:
             return
+        if not self.hung:
+            self.expire()
+        self.world.at(0.2, self.check_lease)
+
+    def expire(self):
         if self.world.now - self.renewed > self.cloud.settings["lease_s"]:
             for name in list(self.tasks):
                 self.off(name)
@@ -156,7 +191,6 @@
             self.session += 1
             self.renewed = self.world.now
             self.changed()
-        self.world.at(0.2, self.check_lease)
 
     def changed(self):
         if self.up and not self.in_flight:
@@ -171,6 +205,9 @@
                             **({"stored": True} if row[3] else {})} for name, row in self.tasks.items()]}
 
     def send(self, tally=None):
+        if self.hung:
+            self.world.at(0.5, self.send, tally)
+            return
         if self.dead or self.in_flight or (tally is not None and tally != self.tally):
             return
         self.in_flight = True
@@ -180,6 +217,10 @@
                            lambda status, body: self.answered(sent, session, status, body))
 
     def answered(self, sent, session, status, body):
+        if self.hung:
+            # Dropped if it waits for longer than a worker does; else read when the machine goes on.
+            self.world.at(0.5, self.answered, sent, session, status if self.world.now - sent < REPORT_TIMEOUT_S else NO_ANSWER, body)
+            return
         self.in_flight = False
         if self.dead:
             return
@@ -242,6 +283,9 @@
         return use[0] <= self.type["cpus"] + 1e-9 and use[1] <= self.type["ram_gb"] + 1e-9
 
     def run(self, name, serial, job):
+        if self.hung:
+            self.world.at(0.5, self.run, name, serial, job)
+            return
         row = self.tasks.get(name)
         if row is None or row[4] != serial or row[1] != "fetching" or self.dead:
             return
@@ -255,6 +299,9 @@
             self.world.at(job["real_s"], self.complete, name, serial, "done")
 
     def complete(self, name, serial, why):
+        if self.hung:
+            self.world.at(0.5, self.complete, name, serial, why)
+            return
         row = self.tasks.get(name)
         if row is not None and row[4] == serial and row[1] == "running" and not self.dead:
             if why == "done":
@@ -262,6 +309,9 @@
             self.exit(name, why)
 
     def saved(self, name, serial):
+        if self.hung:
+            self.world.at(0.5, self.saved, name, serial)
+            return
         row = self.tasks.get(name)
         if row is not None and row[4] == serial and row[1] == "saving" and not self.dead:
             self.exit(name, "halted")
--- a/tests/stand_ins/cluster.py
+++ b/tests/stand_ins/cluster.py
@@ -9,8 +9,8 @@
 from .state import StateService
 from .world import SimLink, SimPool, SimSystem, World
 
-LEASE_S, REPORT_S, CANCEL_S = 10.0, 1.5, 40.0
-LIMITS = {"rps": 100.0, "write_rps": 40.0, "value_bytes": 8192, "txn_ops": 16}
+LIMITS = {"nodes": 3, "rps": 100.0, "write_rps": 40.0, "value_bytes": 8192, "txn_ops": 16, "lease_s": 10.0, "report_s": 1.5,
+          "cancel_s": 40.0, "cloud_rps": 5.0, "capacity": 10}
 
 JOB = {"breed": "test", "crew": "core", "shape": "sweep", "rank": "normal", "embers": 1, "cpus": 1.0, "cards": 0.0,
        "ram_gb": 1.0, "kindling": "img", "image_gb": 0.2, "hearth_kinds": None, "glade": None, "one_zone": False,
@@ -18,32 +18,33 @@
 
 
 class Cluster:
-    def __init__(self, seed, zones=("a", "b", "c"), teams=None, capacity=10):
+    def __init__(self, seed, zones=("a", "b", "c"), teams=None, **limits):
         self.world = World(seed)
         self.zones = zones
         self.teams = teams or {"core": {"cpus": 0.0, "cpus_max": 0.0}}
-        self.names = ["hearth-0", "hearth-1", "hearth-2"]
-        self.observer = Observer(self.world, CANCEL_S, self.teams)
-        self.state = StateService(self.world, **LIMITS)
+        self.limits = limits = {**LIMITS, **limits}
+        self.names = [f"hearth-{n}" for n in range(limits["nodes"])]
+        self.observer = Observer(self.world, limits["cancel_s"], self.teams)
+        self.state = StateService(self.world, **{key: limits[key] for key in ("rps", "write_rps", "value_bytes", "txn_ops")})
         plan = {"type": {"label": "box", "cpus": 8.0, "ram_gb": 32.0, "local_gb": 30.0, "fetch_gb_per_s": 0.2, "price": 0.6,
                          "spot_price": 0.2, "boot_s": 15.0, "glades": list(zones)},
-                "capacity": {(zone, spot): capacity for zone in zones for spot in (False, True)}, "lag_s": 3.0}
-        self.cloud = Cloud(self.world, plan, {"report_s": REPORT_S, "lease_s": LEASE_S}, self.observer, self.names)
+                "capacity": {(zone, spot): limits["capacity"] for zone in zones for spot in (False, True)}, "lag_s": 3.0}
+        self.cloud = Cloud(self.world, plan, {key: limits[key] for key in ("report_s", "lease_s")}, self.observer, self.names)
         self.processes, self.nodes = {}, {}
         self.seed = seed
         for name in self.names:
             self.begin(name)
 
     def settings(self, name):
-        place = self.names.index(name)
+        place, limits = self.names.index(name), self.limits
         teams = {n: Team(n, t["cpus"], t["cpus_max"]) for n, t in self.teams.items()}
         return Settings(
             node=name, zone=self.zones[place % len(self.zones)], front=(name, 1), internal=(name, 2),
-            peers=tuple(Peer(n, "", (n, 2)) for n in self.names if n != name), cloud=("cloud", 1), state=("state", 1),
-            size=3, zones=tuple(sorted(self.zones)), skew_s=0.01, teams=teams,
-            objectives=(Objective("finished", "test", 100.0, 0.9),), report_s=REPORT_S, lease_s=LEASE_S, cancel_s=CANCEL_S,
-            state_rps=LIMITS["rps"], state_write_rps=LIMITS["write_rps"], value_bytes=LIMITS["value_bytes"],
-            txn_ops=LIMITS["txn_ops"], cloud_rps=5.0, list_lag_s=3.0, cpu=0.3, mem_mb=186.0, fd_limit=1200,
+            peers=tuple(Peer(n, self.zones[self.names.index(n) % len(self.zones)], (n, 2)) for n in self.names if n != name), cloud=("cloud", 1), state=("state", 1),
+            size=len(self.names), zones=tuple(sorted(self.zones)), skew_s=0.01, teams=teams,
+            objectives=(Objective("finished", "test", 100.0, 0.9),), report_s=limits["report_s"], lease_s=limits["lease_s"],
+            cancel_s=limits["cancel_s"], state_rps=limits["rps"], state_write_rps=limits["write_rps"], value_bytes=limits["value_bytes"],
+            txn_ops=limits["txn_ops"], cloud_rps=limits["cloud_rps"], list_lag_s=3.0, cpu=0.3, mem_mb=186.0, fd_limit=1200,
             names=tuple(self.names))
 
     def begin(self, name):
@@ -67,12 +68,23 @@
             self.world.hosts[name] = None
             self.world.at(seconds, self.begin, name)
 
+    def freeze(self, name, seconds):
+        """The process stands still while its clocks run on; then it goes on with all that came."""
+        self.processes[name].freeze(self.world.now + seconds)
+
+    def cut_zone(self, zone, seconds, mode):
+        inside = [n for n in self.names if self.zones[self.names.index(n) % len(self.zones)] == zone]
+        inside += [m.name for m in self.cloud.machines.values() if m.zone == zone]
+        everyone = [*self.names, "state", "cloud", "user", *self.cloud.machines]
+        self.world.cut(inside, set(everyone) - set(inside), seconds, mode)
+
     # --- users
 
     def submit(self, job_id, real_s=None, **fields):
         job = {**JOB, **fields, "id": job_id}
         job["real_s"] = real_s if real_s is not None else job["burn_s"]
         self.observer.jobs[job_id] = job
+        self.observer.submitted[job_id] = self.world.now
         self.attempt(job, self.world.now)
 
     def attempt(self, job, since):
--- a/tests/stand_ins/faults.py
+++ b/tests/stand_ins/faults.py
@@ -1,7 +1,8 @@
 """Random troubles and random work, drawn from the scenario's seed."""
 
 
-def draw(cluster, jobs, faults, until):
+def draw(cluster, jobs, faults, until, mass=0):
+    """`mass` of the troubles take a share of all machines at once."""
     world, rng = cluster.world, cluster.world.random
     for number in range(jobs):
         service = rng.random() < 0.25
@@ -23,6 +24,26 @@
     world.copies = ("/agent/beat", 0.02, 1.0, 40.0, cluster.names)
     for _ in range(faults):
         world.at(rng.uniform(15, until * 0.75), strike, cluster)
+    for _ in range(mass):
+        world.at(rng.uniform(20, until * 0.75), strike_many, cluster)
+
+
+def strike_many(cluster):
+    rng, cloud = cluster.world.random, cluster.cloud
+    count = int(rng.uniform(0.1, 0.35) * len(cloud.machines))
+    kind = rng.randrange(5)
+    if kind == 0:
+        cloud.die(count)
+    elif kind == 1:
+        cloud.hang(count, rng.uniform(5, 40))
+    elif kind == 2:
+        cluster.cut_zone(rng.choice(cluster.zones), rng.uniform(10, 45), rng.choice(["hold", "lose"]))
+    elif kind == 3:
+        cloud.take_back(1.0, 0.0)
+        cloud.down_until = cluster.world.now + rng.uniform(10, 60)
+    else:
+        node = rng.choice(cluster.names)
+        cluster.freeze(node, rng.uniform(5, 40))
 
 
 def strike(cluster):
--- a/tests/stand_ins/state.py
+++ b/tests/stand_ins/state.py
@@ -18,6 +18,7 @@
         self.down_until = -1.0
         self.refused = {}  # node -> until
         self.level = {"requests": (rps, 0.0), "writes": (write_rps, 0.0)}
+        self.written = {}  # eg/l/m and the like -> puts and removals
         self.odd = 0.0  # chance of a strange answer
         world.hosts["state"] = self.handle
 
@@ -83,6 +84,8 @@
         writes = data.get("writes", [])
         assert len(writes) <= self.txn_ops and len(data.get("when", [])) <= 4 * self.txn_ops, "over the limits of a transaction"
         assert all(len(orjson.dumps(w.get("data"))) <= self.value_bytes for w in writes), "a value is too large"
+        if len(orjson.dumps(data)) > 64 * 1024:
+            return 400, {"error": "the transaction is too large"}
         if not self.take("writes", len(writes), self.write_rps):
             return 429, {}
         for write in writes:
@@ -98,6 +101,8 @@
     def change(self, writes):
         self.revision += 1
         for key, data, lease in writes:
+            kind = "/".join(key.split("/")[:3])
+            self.written[kind] = self.written.get(kind, 0) + 1
             if data is None:
                 self.keys.pop(key, None)
                 self.log.append((self.revision, {"remove": key, "stamp": self.revision}))
--- a/tests/stand_ins/world.py
+++ b/tests/stand_ins/world.py
@@ -115,6 +115,7 @@
 
     def __init__(self, world, name, seed):
         self.world, self.name, self.alive = world, name, True
+        self.frozen_until = -1.0
         self.random = random.Random(f"{seed} {name} {world.now}")
         self.rate = 1 + self.random.uniform(-0.0005, 0.0005)
         self.offset = self.random.uniform(0, 1000)
@@ -130,6 +131,12 @@
         actor._post = lambda delay, message, args: self.world.at(delay / self.rate, self.deliver, actor, message, args)
         actor.tell("begin")
 
+    def freeze(self, until):
+        self.frozen_until = until
+
     def deliver(self, actor, message, args):
-        if self.alive:
+        if self.world.now < self.frozen_until:
+            # In the order in which it came, when the process goes on.
+            self.world.at(self.frozen_until - self.world.now, self.deliver, actor, message, args)
+        elif self.alive:
             actor.receive(message, args)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -41,12 +41,16 @@
 
     def __init__(self, patch, tmp_path):
         self.patch = patch
-        self.seed, self.teams, self.plan, self.until, self.capacity = 1, {}, [], 100.0, 10
+        self.seed, self.teams, self.plan, self.until, self.limits = 1, {}, [], 100.0, {}
         self.cluster, self.answers = None, []
 
     def step(self, verb, words):
-        if verb in ("seed", "until", "capacity"):
+        if verb in ("seed", "until"):
             setattr(self, verb, value(words[0]))
+        elif verb == "capacity":
+            self.limits[verb] = value(words[0])
+        elif verb == "limits":
+            self.limits.update(split(words)[1])
         elif verb == "team":
             plain, named = split(words)
             self.teams[plain[0]] = {"cpus": 0.0, "cpus_max": 0.0, **named}
@@ -63,11 +67,11 @@
     def play(self):
         if self.cluster is not None:
             return
-        self.cluster = Cluster(self.seed, teams=self.teams or None, capacity=self.capacity)
+        self.cluster = Cluster(self.seed, teams=self.teams or None, **self.limits)
         for verb, words in self.plan:
             if verb == "random":
                 _, named = split(words)
-                faults.draw(self.cluster, named["jobs"], named["faults"], self.until)
+                faults.draw(self.cluster, named["jobs"], named["faults"], self.until, named.get("mass", 0))
             else:
                 self.cluster.world.at(float(words[0]), getattr(self, "do_" + words[1]), *words[2:])
         self.cluster.world.run(self.until)
@@ -79,6 +83,11 @@
     def do_submit(self, job_id, *words):
         self.cluster.submit(job_id, **split(words)[1])
 
+    def do_fill(self, prefix, count, *words):
+        """So many jobs of a kind, a tenth of a second apart."""
+        for number in range(int(count)):
+            self.cluster.world.at(number / 10, self.do_submit, f"job-{prefix}{number}", *words)
+
     def do_abort(self, job_id):
         self.cluster.abort(job_id)
 
@@ -93,6 +102,19 @@
         groups = {"workers": list(self.cluster.cloud.machines), "nodes": self.cluster.names}
         self.cluster.world.cut(groups.get(first, [first]), groups.get(second, [second]), float(seconds), mode)
 
+    def do_cut_zone(self, zone, seconds, mode):
+        """Everything in the zone, the controller there included, is cut off from everything else."""
+        self.cluster.cut_zone(zone, float(seconds), mode)
+
+    def do_freeze(self, node, seconds):
+        self.cluster.freeze(node, float(seconds))
+
+    def do_die(self, count):
+        self.cluster.cloud.die(int(count))
+
+    def do_hang(self, count, seconds):
+        self.cluster.cloud.hang(int(count), float(seconds))
+
     def do_isolate(self, node, seconds, mode):
         everyone = [*self.cluster.names, "state", "cloud", "user", *self.cluster.cloud.machines]
         self.cluster.world.cut([node], [n for n in everyone if n != node], float(seconds), mode)
@@ -199,6 +221,22 @@
         sessions = {m.name: m.session for m in self.cluster.cloud.machines.values() if m.up}
         assert max(sessions.values(), default=1) <= int(most), sessions
 
+    def expect_running_all(self, prefix, count):
+        on = sum(len(places) for name, places in self.cluster.observer.on.items() if name.startswith("job-" + prefix))
+        assert on == int(count), on
+
+    def expect_written(self, kind, most):
+        """No more keys than that were written below eg/l/<kind>."""
+        assert self.cluster.state.written.get("eg/l/" + kind, 0) <= int(most), self.cluster.state.written
+
+    def expect_accepted(self, job_id, seconds):
+        observer = self.cluster.observer
+        assert observer.accepted[job_id] - observer.submitted[job_id] <= float(seconds), observer.accepted[job_id]
+
+    def expect_leases(self, most):
+        """So many leases of the state service were ever asked for, at most."""
+        assert self.cluster.state.next_lease <= int(most), self.cluster.state.next_lease
+
     def expect_listed(self, machine):
         assert self.cluster.cloud.machines[machine].listed
 
