--- a/emberglade/agents/gossip.py
+++ b/emberglade/agents/gossip.py
@@ -26,7 +26,7 @@
         self.table_number = 0
         self.asked = {}  # peer -> when it was asked
         self.asked_whole = float("-inf")
-        self.inventory = {}
+        self.inventory, self.inventory_told = {}, float("-inf")
         self.newcomers = []
         self.deaf_now, self.hearing_now = [], []
 
@@ -52,7 +52,8 @@
         self.after(min(1.0, self.settings.report_s), "tick")
         self.answer_late(self.now())
         self.write_facts()
-        self.tell_inventory()
+        if self.now() - self.inventory_told >= max(1.0, self.settings.report_s / 2):
+            self.tell_inventory()
 
     def sighting(self, known):
         return Sighting(self.row(known, known.heard), max(known.heard, known.answered))
@@ -134,7 +135,7 @@
                 if old is None or (old.session, old.open) != (row.session, usable) or old.type is not self.types[row.type]:
                     old = Machine(name, self.types[row.type], row.zone, row.spot, row.session, usable)
                 inventory[name] = old
-        self.inventory = inventory
+        self.inventory, self.inventory_told = inventory, now
         self.keeper.tell("inventory", inventory)
 
     def on_silence(self, reply, marked=False):
--- a/emberglade/jobs/placer.py
+++ b/emberglade/jobs/placer.py
@@ -29,7 +29,7 @@
             self.place_due = True
             # A round costs more the more there is; so that rounds leave time for reports, the next
             # one comes no sooner than a few times what the last one took.
-            self.after(max(0.05, self.placed_at - self.now()), "place")
+            self.after(max(self.settings.report_s / 25, self.placed_at - self.now()), "place")
 
     def on_place(self):
         if not self.place_due:
--- a/emberglade/transport.py
+++ b/emberglade/transport.py
@@ -190,6 +190,9 @@
            504: "Gateway Timeout"}
 
 
+WANTED = b"cCtT"  # first letters of the headers that matter
+
+
 class Handler(BaseHTTPRequestHandler):
     """Feeds requests to `server.route(method, path, body, reply)` and waits for its answer."""
 
@@ -227,6 +230,8 @@
                     break
                 if not line:
                     return
+                if line[0] not in WANTED:
+                    continue
                 name, _, value = line.partition(b":")
                 name = name.lower()
                 if name == b"content-length":
@@ -293,6 +298,8 @@
         # Without HTTPServer's name look-up: there is no name service.
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.bind(self.server_address)
+        if not self.server_address[1]:
+            self.server_address = self.socket.getsockname()
         self.server_name, self.server_port = self.server_address[:2]
 
     def process_request(self, request, client_address):
@@ -319,5 +326,5 @@
         except queue.Empty:
             return 503, {"error": "no decision in time; ask again"}, 1
 
-    def begin(self, name):
-        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 3600}, name=name, daemon=True).start()
+    def begin(self, name, poll_interval=3600):
+        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": poll_interval}, name=name, daemon=True).start()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -13,7 +13,9 @@
 from stand_ins.cluster import Cluster
 
 from emberglade.config import SettingsError, load_operators, load_platform
+from emberglade.node import is_users
 from emberglade.sizing import Expert, Sizer
+from emberglade.transport import Connection, Server
 
 HERE = Path(__file__).parent / "scenarios"
 FILES = sorted(HERE.rglob("*.txt"))
@@ -367,7 +369,56 @@
         return file
 
 
-KINDS = {"cluster": ClusterScenario, "sizing": SizingScenario, "settings": SettingsScenario}
+class ServerScenario:
+    """A real server on loopback; every `ask` opens a connection of its own and keeps it."""
+
+    def __init__(self, patch, tmp_path):
+        self.open, self.server, self.limits = [], None, {}
+
+    def step(self, verb, words):
+        if verb == "limits":
+            self.limits = split(words)[1]
+            self.server = Server(("127.0.0.1", 0), lambda method, path, body, reply: reply(200, {}), 3.0, 30.0,
+                                 self.limits["most"], is_users, self.limits["users"])
+            self.server.begin("test", 0.05)
+        elif verb == "ask":
+            connection = self.connect()
+            status = self.request(connection, words[0])
+            assert status == int(words[1]), status
+            if status == 503:
+                connection.close()
+        elif verb == "close":
+            # Closed by its client; the server's thread gives the place back a moment later.
+            self.open.pop(int(words[0])).close()
+            self.wait_for_room()
+        elif verb == "expect" and words == ["refused"]:
+            with pytest.raises(OSError):
+                self.request(self.connect(), "/agent/beat")
+        else:
+            raise AssertionError(verb)
+
+    def connect(self):
+        return Connection(("127.0.0.1", self.server.server_port))
+
+    def request(self, connection, path):
+        status, _ = connection.request("GET", path, None, 5.0)
+        if status == 200:
+            self.open.append(connection)
+        return status
+
+    def wait_for_room(self):
+        assert self.server.slots.acquire(timeout=5.0)
+        self.server.slots.release()
+
+    def end(self):
+        for connection in self.open:
+            connection.close()
+        if self.server is not None:
+            self.server.shutdown()
+            self.server.server_close()
+
+
+KINDS = {"server": ServerScenario, "cluster": ClusterScenario, "sizing": SizingScenario, "settings": SettingsScenario}
 
 
 @pytest.mark.parametrize("file", FILES, ids=lambda file: str(file.relative_to(HERE))[:-4])
@@ -385,4 +436,6 @@
             scenario.step(words[0], words[1:])
         except AssertionError as error:
             raise AssertionError(f"{file.name}:{number}: {line}\n{error}") from error
+    if hasattr(scenario, "end"):
+        scenario.end()
     assert expected, "a scenario has to expect something"
