Messages are handed over in the caller's thread when the actor is free

Now the thread that read a report takes the desk's turn if it is free: one futex call a report, 168 to 129 microseconds a report on loopback.

--- a/emberglade/actors.py
+++ b/emberglade/actors.py
@@ -1,7 +1,7 @@
 """Actors: objects that own their state and are spoken to by messages.
 
 A message is a name and arguments; `tell("x", 1)` runs `on_x(1)` in the actor's own turn.
-`ThreadSystem` gives each actor a thread and a mailbox; the tests run the same actors on
+`ThreadSystem` gives each actor a thread, a mailbox and a turn; the tests run the same actors on
 simulated time. Own layer instead of Pykka: see docs/design.md, "Libraries".
 """
 
@@ -19,12 +19,27 @@
 class Actor:
     """Base of all actors. Subclasses define `on_<message>` and may define `on_begin`."""
 
-    _post = None
+    _post = _hand = None
     system = None
 
     def tell(self, message, *args):
         self._post(0.0, message, args)
 
+    def hand(self, message, *args):
+        """Like `tell`, but in the caller's thread if the actor has nothing else to do just now.
+
+        It is still one message at a time, in the actor's own turn. Two changes of threads a report cost
+        more than the report.
+        """
+        if self._hand is None:
+            self._post(0.0, message, args)
+        else:
+            self._hand(message, args)
+
+    def then_hand(self, message, *context):
+        """Like `then`, with `hand`."""
+        return lambda *result: self.hand(message, *context, *result)
+
     def after(self, delay, message, *args):
         self._post(delay, message, args)
 
@@ -56,9 +71,20 @@
         mailbox = queue.SimpleQueue()
         actor._post = lambda delay, message, args: mailbox.put(
             (self.now() + delay if delay > 0 else 0.0, message, args))
-        actor.tell("begin")
         account = self.busy[name] = [0.0, 0]
-        threading.Thread(target=self._run, args=(actor, mailbox, account), name=name, daemon=True).start()
+        turn = threading.Lock()  # held by whichever thread delivers a message to this actor
+        turn.acquire()  # until it has begun
+
+        def hand(message, args):
+            if not mailbox.empty() or not turn.acquire(blocking=False):
+                mailbox.put((0.0, message, args))
+                return
+            try:
+                self._deliver(actor, message, args, account)
+            finally:
+                turn.release()
+        actor._hand = hand
+        threading.Thread(target=self._run, args=(actor, mailbox, turn, account), name=name, daemon=True).start()
 
     def take_account(self):
         """{actor: (seconds in its messages, messages)} since the last call."""
@@ -67,7 +93,9 @@
             account[:] = [0.0, 0]
         return taken
 
-    def _run(self, actor, mailbox, account):
+    def _run(self, actor, mailbox, turn, account):
+        self._deliver(actor, "begin", (), account)
+        turn.release()
         timers, order = [], itertools.count()
         while True:
             wait = None
@@ -75,7 +103,8 @@
                 wait = timers[0][0] - self.now()
                 if wait <= 0:
                     _, _, message, args = heapq.heappop(timers)
-                    self._deliver(actor, message, args, account)
+                    with turn:
+                        self._deliver(actor, message, args, account)
                     # Mail is not starved by timers that are always due.
                     wait = 0
             try:
@@ -85,7 +114,8 @@
             if due:
                 heapq.heappush(timers, (due, next(order), message, args))
             else:
-                self._deliver(actor, message, args, account)
+                with turn:
+                    self._deliver(actor, message, args, account)
 
     @staticmethod
     def _deliver(actor, message, args, account):
--- a/emberglade/frontdoor/door.py
+++ b/emberglade/frontdoor/door.py
@@ -67,30 +67,30 @@
             except ValueError:
                 reply(400, wire.error("the report is not JSON"))
                 return
-            self.desk.tell("beat", data, reply)
+            self.desk.hand("beat", data, reply)
         elif path == "/ready":
             if method != "GET":
                 reply(405, wire.error("GET is needed"))
                 return
-            self.desk.tell("ready", lambda ready: reply(200, {"ready": True}) if ready else
+            self.desk.hand("ready", lambda ready: reply(200, {"ready": True}) if ready else
                            reply(503, wire.error("not in step with the state service yet"), RETRY_S))
         elif path == "/submissions":
             if method != "POST":
                 reply(405, wire.error("POST is needed"))
                 return
-            self.tell("submit", body, reply)
+            self.hand("submit", body, reply)
         elif path.startswith("/submissions/"):
             words = path.split("/")[2:]
             if len(words) == 1 and words[0]:
                 if method != "GET":
                     reply(405, wire.error("GET is needed"))
                 else:
-                    self.tell("poll", words[0], reply)
+                    self.hand("poll", words[0], reply)
             elif len(words) == 2 and words[0] and words[1] == "abort":
                 if method != "POST":
                     reply(405, wire.error("POST is needed"))
                 else:
-                    self.tell("abort", words[0], reply, 0)
+                    self.hand("abort", words[0], reply, 0)
             else:
                 reply(404, wire.error("no such path"))
         else:
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -41,7 +41,7 @@
             reply(400, {"error": "not JSON"})
             return
         if path == "/peer/heard" and method == "POST":
-            self.desk.tell("heard", read_question(data), reply)
+            self.desk.hand("heard", read_question(data), reply)
         elif path == "/peer/facts" and method == "POST" and isinstance(data, list):
             for fact in read_facts(data):
                 self.keeper.tell(*fact)
--- a/emberglade/state/ledger.py
+++ b/emberglade/state/ledger.py
@@ -214,7 +214,7 @@
                 self.requests.take(now, 1)
                 self.writes.take(now, writes)
                 self.flying += 1
-                self.link.call(method, path, body, self.patience, self.then("answered", writes, reply))
+                self.link.call(method, path, body, self.patience, self.then_hand("answered", writes, reply))
 
     def on_answered(self, writes, reply, status, body):
         self.flying -= 1
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -3,8 +3,11 @@
 Verbs are the methods `do_*` and `expect_*` of the class that the scenario's `kind` names.
 """
 
+import queue
 import random
 import shlex
+import threading
+import time
 from pathlib import Path
 
 import breakages
@@ -12,6 +15,7 @@
 from stand_ins import faults
 from stand_ins.cluster import Cluster
 
+from emberglade.actors import Actor, ThreadSystem
 from emberglade.config import SettingsError, load_operators, load_platform
 from emberglade.node import is_users
 from emberglade.sizing import Expert, Sizer
@@ -418,7 +422,44 @@
             self.server.server_close()
 
 
-KINDS = {"server": ServerScenario, "cluster": ClusterScenario, "sizing": SizingScenario, "settings": SettingsScenario}
+class Counter(Actor):
+    def on_begin(self):
+        self.value = 0
+
+    def on_add(self):
+        value = self.value
+        time.sleep(0)  # gives other threads the chance to come in between
+        self.value = value + 1
+
+
+class ActorsScenario:
+    """Threads that tell and hand messages to one actor: it still does one at a time."""
+
+    def __init__(self, patch, tmp_path):
+        self.counter = Counter()
+        ThreadSystem().spawn(self.counter, "counter")
+
+    def step(self, verb, words):
+        if verb == "senders":
+            threads = [threading.Thread(target=self.send, args=(int(words[1]),)) for _ in range(int(words[0]))]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+        elif verb == "expect" and words[0] == "counted":
+            done = queue.SimpleQueue()
+            self.counter.on_ask = lambda: done.put(self.counter.value)
+            self.counter.tell("ask")
+            assert done.get(timeout=10) == int(words[1])
+        else:
+            raise AssertionError(verb)
+
+    def send(self, count):
+        for number in range(count):
+            (self.counter.tell if number % 3 == 0 else self.counter.hand)("add")
+
+
+KINDS = {"actors": ActorsScenario, "server": ServerScenario, "cluster": ClusterScenario, "sizing": SizingScenario, "settings": SettingsScenario}
 
 
 @pytest.mark.parametrize("file", FILES, ids=lambda file: str(file.relative_to(HERE))[:-4])
