--- a/emberglade/agents/gossip.py
+++ b/emberglade/agents/gossip.py
@@ -33,10 +33,10 @@
     def on_ask_peers(self):
         """Asks peers for all machines now and then, and more often for those whose tasks wait for proof."""
         now = self.now()
-        often = min(1.0, self.settings.report_s) / 4
-        self.after(often, "ask_peers")
+        often, interval = min(1.0, self.settings.report_s) / 4, max(1.0, self.settings.report_s / 2)
         lost = [name for name, mark in self.marks.items() if mark == "lost" and name in self.bound]
-        whole = now - self.asked_whole >= max(1.0, self.settings.report_s / 2) - often / 2
+        self.after(often if lost else interval, "ask_peers")
+        whole = now - self.asked_whole >= interval - often / 2
         if not whole and not lost:
             return
         if whole:
--- a/emberglade/jobs/placer.py
+++ b/emberglade/jobs/placer.py
@@ -27,9 +27,7 @@
     def soon_place(self):
         if not self.place_due:
             self.place_due = True
-            # A round costs more the more there is; so that rounds leave time for reports, the next
-            # one comes no sooner than a few times what the last one took.
-            self.after(max(self.settings.report_s / 25, self.placed_at - self.now()), "place")
+            self.after(max(self.settings.report_s / 50, self.placed_at - self.now()), "place")
 
     def on_place(self):
         if not self.place_due:
@@ -87,7 +85,9 @@
                 elif budget > 0:
                     budget -= self.place(job, job.waiting(now, most), turn, wall)
         self.preempt(now, waiting, turn)
-        self.placed_at = self.now() + 3 * (self.now() - now)
+        # A round costs more the more there is; so that rounds leave time for reports, the next one comes no
+        # sooner than a few times what this one took, and a tenth of a report interval.
+        self.placed_at = self.now() + max(3 * (self.now() - now), self.settings.report_s / 10)
 
     def place(self, job, tasks, turn, wall):
         """Binds as many of the tasks as find room; returns how many."""
--- a/emberglade/state/ledger.py
+++ b/emberglade/state/ledger.py
@@ -41,6 +41,8 @@
         self.writes = Budget(settings.state_write_rps, settings.size, settings.state_write_rps / settings.size)
         # Syncs take at most half of the even share, however many ask; commits have the rest.
         self.sync_gap = 2.0 * settings.size / settings.state_rps
+        # While nobody asks, others' changes are looked for less often: most of a quiet day is this.
+        self.idle_gap = max(3 * self.sync_gap, settings.report_s / 8)
         # Requests that nobody answered may still hold a thread; bounded in time.
         self.patience = min(settings.lease_s / 4, 3.0)
         self.flight_cap = 6
@@ -191,10 +193,10 @@
 
     def on_tick(self):
         # Unasked as well, so that what others wrote is soon seen.
-        if self.revision >= 0 and self.now() - self.sync_sent > 3 * self.sync_gap:
+        if self.revision >= 0 and self.now() - self.sync_sent > self.idle_gap:
             self.soon_sync()
         self.pump()
-        self.after(2 * self.sync_gap, "tick")
+        self.after(self.idle_gap / 2, "tick")
 
     def pump(self):
         now = self.now()
--- a/tests/stand_ins/cloud.py
+++ b/tests/stand_ins/cloud.py
@@ -160,7 +160,6 @@
         self.hung = False
         if self.dead:
             return
-        self.expire()
         held, self.held = self.held, []
         for request in held:
             self.handle(*request)
@@ -179,8 +178,8 @@
     def check_lease(self):
         if self.dead:
             return
-        if not self.hung:
-            self.expire()
+        # Also of a machine that hangs: it executes nothing, and may only go on within its lease.
+        self.expire()
         self.world.at(0.2, self.check_lease)
 
     def expire(self):
