--- a/emberglade/jobs/record.py
+++ b/emberglade/jobs/record.py
@@ -238,8 +238,3 @@
 
 def task_name(job_id, task):
     return f"{job_id}/{task}"
-
-
-def split_task(name):
-    job_id, _, number = name.rpartition("/")
-    return job_id, int(number)
