Withdrawals reach tasks directly and by peers; level copies keep leases alive in long outages

Change: the controller that confirms halts the tasks at their machines and tells its peers; a controller out of contact fetches from peers the changes that it lacks; it may answer workers while every peer has stated, within blind_s, a copy no newer than its own. A withdrawal is told only when the teller's own copy shows it. The argument is docs/safety.md, 8.

The breakage deaf_to_cancellations now hides withdrawals from the desk altogether: with one way to the task closed the other halted it, so the check for ran_cancelled had nothing to catch. It is as strict as before.

--- a/emberglade/agents/desk.py
+++ b/emberglade/agents/desk.py
@@ -18,6 +18,7 @@
 from ..state.ledger import DECISIONS
 from . import wire
 from .gossip import Gossip
+from .withdrawals import Withdrawals
 
 log = logging.getLogger("emberglade.agents")
 
@@ -41,14 +42,21 @@
     __slots__ = ("spec", "withdrawn", "withdrawn_at", "parts")
 
     def __init__(self, spec):
+        # `withdrawn_at`: the revision at which the withdrawal was seen
         self.spec, self.withdrawn, self.withdrawn_at, self.parts = spec, False, 0, {}
 
+    def bound(self):
+        """(task, row as kept) of all bound tasks."""
+        for rows in self.parts.values():
+            yield from rows.items()
 
-class Desk(Gossip, Follower):
+
+class Desk(Gossip, Withdrawals, Follower):
     hears_contact = True
 
     def __init__(self, settings, ledger, keeper, member, peers, workers):
-        super().__init__(settings)
+        Gossip.__init__(self, settings)
+        Withdrawals.__init__(self, settings)
         self.settings = settings
         self.ledger, self.keeper, self.member, self.peers, self.workers = ledger, keeper, member, peers, workers
         self.known = {}
@@ -78,6 +86,7 @@
         self.after(0.3, "ask_peers")
         self.after(0.5, "tick")
         self.after(1.0, "tables")
+        self.after(self.settings.report_s, "press_halts")
 
     def on_contact(self, when, revision):
         self.contact = max(self.contact, when)
@@ -96,6 +105,7 @@
         for key, data, stamp in events:
             self.absorb(key, data, stamp, tables)
         self.revision = max(self.revision, revision)
+        self.sightings.compare_copies(self.revision)
         if tables or whole:
             self.sightings.nodes(self.nodes, self.now())
         for node in tables:
@@ -113,12 +123,12 @@
             entry = self.jobs.get(job_id)
             if entry is None:
                 entry = self.jobs[job_id] = Entry(Spec.decode(job_id, data["s"]))
+                if job_id in self.heard_withdrawn:
+                    self.see_withdrawal(job_id, entry, self.heard_withdrawn[job_id])
                 for number, (part, part_stamp) in self.loose.pop(job_id, {}).items():
                     self.put_part(job_id, entry, number, part, part_stamp)
             if data.get("w") and not entry.withdrawn:
-                entry.withdrawn, entry.withdrawn_at = True, stamp
-                for rows in entry.parts.values():
-                    self.touched.update(row[1] for row in rows.values())
+                self.see_withdrawal(job_id, entry, stamp)
             self.put_part(job_id, entry, 0, data.get("p", {}), stamp)
         elif key.startswith("t/"):
             _, job_id, number = key.split("/")
@@ -161,6 +171,7 @@
     def drop_job(self, job_id):
         entry = self.jobs.pop(job_id, None)
         self.loose.pop(job_id, None)
+        self.forget_withdrawal(job_id)
         if entry is not None:
             for number in list(entry.parts):
                 self.put_part(job_id, entry, number, {}, 0)
@@ -199,15 +210,15 @@
             reply(400, {"error": str(error)})
             return
         now = self.now()
-        node = self.better_node(now)
-        if node is not None:
-            reply(421, wire.elsewhere(node))
+        better = self.better_node(now)
+        if better is not None and now - self.sightings.level_since() > self.settings.lease_s / 4:
+            reply(421, wire.elsewhere(better))
             return
         name = report.machine
         mark = self.marks.get(name)
-        if self.revision < 0 or now - self.contact > self.settings.blind_s or (mark and self.settings.node not in self.nodes):
-            # Not entitled any more: what this node tells could be older than a cancellation, or
-            # the proof that this machine's leases are over counts on its silence.
+        if not self.entitled(now) or (mark and self.settings.node not in self.nodes):
+            # What this node tells could be older than a cancellation, or the proof that this
+            # machine's leases are over counts on its silence.
             reply(503, {"error": "no contact with the state service"}, 1)
             return
         home = self.home_node(report, now) if not mark else None
@@ -248,7 +259,11 @@
         told = self.tell_holders(report, known.tasks)
         token, commands, more = self.commands(known, False)
         known.quiet = not (told or commands or more or token > report.token or known.deaf) and report.notice_s is None
-        if more:
+        if more and better is not None and not commands:
+            # This node knows what the others know, but a start or a clear needs one that can sync. Nobody is sent
+            # away for less: a worker that can't reach the other loses its lease on the way (meetings/gap.txt).
+            reply(421, wire.elsewhere(better))
+        elif more:
             self.waited += 1
             self.waiting[self.waited] = (known, report, reply, now)
             self.ledger.tell("sync", self.then("synced", self.waited))
@@ -318,6 +333,10 @@
                     grace = self.grace(self.jobs[key[0]], stop)
                     if seen.state != "saving" or stop != SAVE:
                         commands.append(wire.halt(name, seen.attempt, grace))
+            elif seen.state != "exited" and self.is_withdrawn(key[0]):
+                # Whatever the copy lacks, nothing of a withdrawn job is wanted anywhere.
+                token = max(token, self.withdrawn_revision(key[0]))
+                commands.append(wire.halt(name, seen.attempt, 0))
             elif not synced:
                 more = True
             elif seen.state == "exited":
@@ -487,6 +506,17 @@
 
     # --- who may answer
 
+    def entitled(self, now):
+        """Whether no withdrawal that this copy lacks can have been told to its user longer than `blind_s` ago.
+
+        Either a sync was answered since, or every peer has stated since that its copy is no newer than this
+        one: whatever a controller tells a user is in its own copy before (docs/safety.md, 8).
+        """
+        if self.revision < 0:
+            return False
+        blind_s = self.settings.blind_s
+        return now - self.contact <= blind_s or now - self.sightings.level_since() <= blind_s
+
     def better_node(self, now):
         """A node that can follow the state service while this one can't."""
         quarter = self.settings.lease_s / 4
--- a/emberglade/agents/gossip.py
+++ b/emberglade/agents/gossip.py
@@ -5,6 +5,7 @@
 import orjson
 
 from ..placement import Machine
+from ..state import wire as state_wire
 from . import wire
 from .sightings import Sighting, Sightings
 
@@ -89,13 +90,19 @@
 
     def on_heard_synced(self, only, reply, revision):
         now = self.now()
-        reply(200, wire.statement(now - self.born, min(1e6, now - self.contact), revision,
+        reply(200, wire.statement(now - self.born, min(1e6, now - self.contact), revision, self.revision,
                                   self.rows(now, 2 * self.settings.lease_s, only)))
 
     def on_peer_heard(self, name, asked, only, status, body):
         self.asked.pop(name, None)
         if status == 200 and not self.sightings.hear(name, asked, self.now(), body, only):
             log.info("%s made an odd statement; it is asked again", name)
+        elif status == 200 and only is None:
+            self.sightings.compare_copies(self.revision)
+            if self.sightings.told[name].copy_revision > self.revision >= 0 and self.now() - self.contact > self.settings.report_s / 2:
+                # The state service is out of reach here. What it committed may be had from this peer.
+                self.peers[name].call("POST", "/peer/changes", state_wire.since(self.revision), 2 * self.settings.report_s,
+                                      lambda status, body, since=self.revision: self.ledger.tell("changes_of_peer", since, status, body))
 
     def soon_inventory(self):
         if not self.inventory_due:
--- a/emberglade/agents/sightings.py
+++ b/emberglade/agents/sightings.py
@@ -36,6 +36,7 @@
     contact_s: float
     revision: int | None
     known: dict
+    copy_revision: int = -1  # of the peer's copy when it was made; -1: it had none
     hearing: int = 0  # machines that had reported to that node just before
 
     def last_heard(self, machine):
@@ -56,6 +57,7 @@
         self.written = {}  # peer -> Statement, out of its table
         self.moments = deque(maxlen=400)  # (a sync was sent, the revision it brought)
         self.absent = {}  # peer -> since when its key is missing
+        self.level = {}  # peer -> when it was last asked and had no newer copy than ours
         self.contact = float("-inf")
 
     def see(self, machine, row, heard):
@@ -85,6 +87,19 @@
             self.see(machine, row, got - row.age_s)
         return True
 
+    def compare_copies(self, revision):
+        """Notes which peers' copies were not newer than ours, now that ours is at `revision`.
+
+        A peer without a copy says nothing about what its former process may have told.
+        """
+        for peer, said in self.told.items():
+            if 0 <= said.copy_revision <= revision:
+                self.level[peer] = max(self.level.get(peer, said.asked), said.asked)
+
+    def level_since(self):
+        """A moment up to which no peer had told anybody of anything that our copy does not show."""
+        return min((self.level.get(peer.name, float("-inf")) for peer in self.settings.peers), default=float("-inf"))
+
     def read_table(self, peer, got, age_s, body):
         """A peer's table, about `age_s` old by the time of day."""
         found = wire.read_statement(body)
--- a/emberglade/agents/wire.py
+++ b/emberglade/agents/wire.py
@@ -134,16 +134,32 @@
     addr: str
 
 
-def statement(up_s, contact_s, revision, rows):
-    return {"up": up_s, "contact": contact_s, "rev": revision, "known": rows}
+def statement(up_s, contact_s, revision, copy_revision, rows):
+    """`revision` is that of a sync asked for by the question, None if there was none; `copy_revision` that of the copy."""
+    return {"up": up_s, "contact": contact_s, "rev": revision, "copy": copy_revision, "known": rows}
+
+
+def withdrawal(job_id, revision):
+    return {"job": job_id, "rev": revision}
+
+
+def read_withdrawal(data):
+    """(job id, revision) of a withdrawal that a peer has seen committed, or None."""
+    if not isinstance(data, dict) or not isinstance(data.get("job"), str) or type(data.get("rev")) is not int:
+        return None
+    return data["job"], data["rev"]
 
 
 def read_statement(data):
-    """(up_s, contact_s, revision or None, {machine: Row}), or None when it is odd."""
+    """(up_s, contact_s, revision or None, {machine: Row}, the copy's revision), or None when it is odd.
+
+    The last is -1 if the peer has no copy yet, or does not say.
+    """
     try:
         up_s, contact_s, revision = float(data["up"]), float(data["contact"]), data["rev"]
-        if revision is not None and type(revision) is not int:
+        copy = data.get("copy", -1)
+        if (revision is not None and type(revision) is not int) or type(copy) is not int:
             return None
-        return up_s, contact_s, revision, {name: Row(*row) for name, row in data["known"].items()}
+        return up_s, contact_s, revision, {name: Row(*row) for name, row in data["known"].items()}, copy
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
--- /dev/null
+++ b/emberglade/agents/withdrawals.py
@@ -0,0 +1,139 @@
+"""Halts of withdrawn jobs' tasks, sent directly to their machines and told to the other controllers.
+
+A withdrawal reaches a task in the next answer to its machine's report, if the controller that answers has seen
+it. One that the state service refuses has not, and its workers go on reporting to it. So the controller that
+confirms a withdrawal halts the tasks itself, and every other one that knows of it does so a little later if the
+record still shows them (docs/safety.md, 8).
+"""
+
+import logging
+
+from . import wire
+
+log = logging.getLogger("emberglade.agents")
+
+LATER_REPORTS = 3  # report intervals after which the controllers that did not confirm a withdrawal halt as well
+
+
+class Withdrawals:
+    """The part of the desk that sees to it that withdrawn tasks end, whoever their machines report to."""
+
+    def __init__(self, settings):
+        self.withdrawn = {}  # live withdrawn job -> from when on its tasks are halted directly
+        self.heard_withdrawn = {}  # job -> revision, told by a peer of what this copy does not show yet
+        self.halted = {}  # machine -> (session, when the last direct halt was sent)
+        self.halting = set()  # machines whose answer to a direct halt is awaited
+        self.seen_off = {}  # withdrawn job -> {(task, attempt)} that its machine's own report shows ended
+        # Machines that hang hold a thread each until they time out; starts need some as well.
+        self.most_halting = max(2, settings.fd_limit // 128)
+        self.held_back = False  # some halts wait for others to be answered
+
+    # --- who knows of a withdrawal
+
+    def see_withdrawal(self, job_id, entry, revision):
+        entry.withdrawn, entry.withdrawn_at = True, revision
+        self.touched.update(row[1] for _, row in entry.bound())
+        self.withdrawn.setdefault(job_id, self.now() + LATER_REPORTS * self.settings.report_s)
+
+    def forget_withdrawal(self, job_id):
+        self.withdrawn.pop(job_id, None)
+        self.seen_off.pop(job_id, None)
+
+    def is_withdrawn(self, job_id):
+        return job_id in self.withdrawn or job_id in self.heard_withdrawn
+
+    def withdrawn_revision(self, job_id):
+        entry = self.jobs.get(job_id)
+        return entry.withdrawn_at if entry is not None else self.heard_withdrawn[job_id]
+
+    def on_confirm_withdrawal(self, job_id):
+        """This controller tells a user that the job is withdrawn; its copy shows that."""
+        if job_id in self.withdrawn:
+            self.withdrawn[job_id] = self.now()
+            for link in self.peers.values():
+                link.call("POST", "/peer/withdrawn", wire.withdrawal(job_id, self.withdrawn_revision(job_id)),
+                          self.settings.report_s, lambda status, body: None)
+            self.press_halts(job_id)
+
+    def on_hear_withdrawal(self, job_id, revision):
+        """A peer's word is enough to halt; that the job is withdrawn is told to users from the copy alone."""
+        if revision <= self.revision:
+            return  # shown by the copy, if the job is not over by now
+        self.heard_withdrawn[job_id] = revision
+        entry = self.jobs.get(job_id)
+        if entry is not None and not entry.withdrawn:
+            self.see_withdrawal(job_id, entry, revision)
+
+    # --- direct halts
+
+    def on_press_halts(self):
+        self.after(self.settings.report_s / 2, "press_halts")
+        for job_id in [job_id for job_id, revision in self.heard_withdrawn.items() if revision <= self.revision]:
+            del self.heard_withdrawn[job_id]
+        self.halted = {name: last for name, last in self.halted.items() if self.now() - last[1] < self.settings.lease_s}
+        self.press_due_halts()
+
+    def press_due_halts(self):
+        self.held_back = False
+        now = self.now()
+        for job_id in [job_id for job_id, due in self.withdrawn.items() if due <= now]:
+            self.press_halts(job_id)
+
+    def press_halts(self, job_id):
+        """Sends what is still bound of the job a halt, again and again until its machine shows it ended."""
+        now, entry, machines = self.now(), self.jobs.get(job_id), {}
+        if entry is None:
+            return
+        off = self.seen_off.setdefault(job_id, set())
+        for task, (attempt, machine, session, *_) in entry.bound():
+            if (task, attempt) not in off:
+                machines.setdefault((machine, session), []).append((task, attempt))
+        for machine, session in machines:
+            if len(self.halting) >= self.most_halting:
+                self.held_back = True
+                return
+            sighting = self.sightings.view.get(machine)
+            last = self.halted.get(machine, (0, float("-inf")))
+            if sighting is None or not sighting.row.addr or sighting.row.session > session or machine in self.halting \
+                    or (last[0] == session and now - last[1] < self.settings.report_s and self.withdrawn[job_id] < last[1]):
+                continue
+            self.send_halts(machine, session, sighting.row.addr, self.revision)
+
+    def send_halts(self, machine, session, addr, token):
+        """All of this machine's withdrawn tasks in one message.
+
+        Its token is at least the revision of the withdrawal, so that no start from before it, on its way
+        however long, is accepted afterwards.
+        """
+        commands = []
+        for (job_id, task), want in self.bound.get(machine, {}).items():
+            if job_id in self.withdrawn and want[3] == session:
+                token = max(token, self.withdrawn_revision(job_id))
+                commands.append(wire.halt(f"{job_id}/{task}", want[0], 0))
+        if not commands:
+            return
+        self.halted[machine] = (session, self.now())
+        self.halting.add(machine)
+        self.workers.call(addr, "POST", "/commands", wire.orders(token, session, commands), self.settings.report_s,
+                          self.then("halted", machine, session, addr, token))
+
+    def on_halted(self, machine, session, addr, token, status, body):
+        self.halting.discard(machine)
+        self.on_ordered(machine, status, body)
+        if status not in (200, 409):
+            return
+        try:
+            report = wire.read_report(body)
+            tasks = wire.read_tasks(report.raw)
+        except ValueError:
+            return  # logged already
+        if status == 409 and report.session == session and report.token > token:
+            # It has seen a newer token. Halts of what is withdrawn are true at any time.
+            self.send_halts(machine, session, addr, report.token)
+            return
+        for (job_id, task), want in self.bound.get(machine, {}).items():
+            seen = tasks.get((job_id, task))
+            if job_id in self.withdrawn and (report.session > want[3] or seen is None or seen.attempt != want[0] or seen.state == "exited"):
+                self.seen_off.setdefault(job_id, set()).add((task, want[0]))
+        if self.held_back:
+            self.press_due_halts()
--- a/emberglade/frontdoor/door.py
+++ b/emberglade/frontdoor/door.py
@@ -253,6 +253,7 @@
             return
         data, stamp, _ = row
         if data.get("w"):
+            self.desk.tell("confirm_withdrawal", job_id)
             reply(200, wire.state(job_id, "withdrawn"))
             return
         self.ledger.tell("commit", DECISIONS, [(LIVE + job_key(job_id), stamp)],
@@ -262,7 +263,9 @@
     def on_aborted(self, job_id, reply, tries, status, revision, failed):
         if status == 200:
             log.info("%s withdrawn by its user", job_id)
-            reply(200, wire.state(job_id, "withdrawn"))
+            # Nothing is told that this controller's own copy does not show: others conclude from its revision
+            # that they miss nothing, and its halts go to every machine that the copy names.
+            self.ledger.tell("sync", self.then("abort_synced", job_id, reply, tries))
         elif status == 409 and tries < 8:
             # Its holder wrote in between.
             self.on_abort(job_id, reply, tries + 1)
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -9,12 +9,12 @@
 import orjson
 
 from .actors import ThreadSystem
-from .agents import Desk, read_facts, read_question
+from .agents import Desk, read_facts, read_question, read_withdrawal
 from .fleet import Steward
 from .frontdoor import Door
 from .jobs import Keeper
 from .membership import Member
-from .state import Ledger
+from .state import Ledger, read_since
 from .transport import Link, Pool, Server
 
 log = logging.getLogger("emberglade")
@@ -46,6 +46,11 @@
             for fact in read_facts(data):
                 self.keeper.tell(*fact)
             reply(200, {})
+        elif path == "/peer/changes" and method == "POST" and read_since(data) is not None:
+            self.ledger.hand("changes_for_peer", read_since(data), reply)
+        elif path == "/peer/withdrawn" and method == "POST" and read_withdrawal(data) is not None:
+            self.desk.hand("hear_withdrawal", *read_withdrawal(data))
+            reply(200, {})
         else:
             reply(404, {"error": "no such path"})
 
--- a/emberglade/state/__init__.py
+++ b/emberglade/state/__init__.py
@@ -2,7 +2,8 @@
 
 from .follower import Follower
 from .ledger import LIVE, OVER, Ledger
+from .wire import read_since
 
 DRIFT = 1.001  # steady clocks of two machines, each off by up to 0.05 %
 
-__all__ = ["DRIFT", "LIVE", "OVER", "Follower", "Ledger"]
+__all__ = ["DRIFT", "LIVE", "OVER", "Follower", "Ledger", "read_since"]
--- a/emberglade/state/ledger.py
+++ b/emberglade/state/ledger.py
@@ -46,6 +46,10 @@
         # Requests that nobody answered may still hold a thread; bounded in time.
         self.patience = min(settings.lease_s / 4, 3.0)
         self.flight_cap = 6
+        # What a peer that the state service refuses may still learn here. It asks every second or so, and a
+        # lease's worth of changes at the full rate is far more than come in between.
+        self.recent = deque(maxlen=max(64, int(settings.state_write_rps * settings.lease_s)))
+        self.recent_after = -1  # `recent` holds all changes after this revision
 
     def on_begin(self):
         self.contact_lost_logged = False
@@ -78,7 +82,8 @@
         fresh = {key[len(LIVE):]: (data, stamp) for key, data, stamp in found}
         gone = [(key, None, first) for key in self.copy if key not in fresh]
         self.copy = fresh
-        self.revision = first
+        self.revision = self.recent_after = first
+        self.recent.clear()
         events = gone + [(key, data, stamp) for key, (data, stamp) in fresh.items()]
         for actor in self.subscribers:
             actor.tell("changed", events, first, True)
@@ -101,12 +106,33 @@
             else:
                 self.copy[key] = (data, stamp)
             fresh.append((key, data, stamp))
+            if len(self.recent) == self.recent.maxlen:
+                self.recent_after = self.recent[0][2]
+            self.recent.append((key, data, stamp))
         if revision > self.revision:
             self.revision = revision
         if fresh:
             for actor in self.subscribers:
                 actor.tell("changed", fresh, self.revision, False)
 
+    # --- what peers learn from each other while the state service is out of reach
+
+    def on_changes_for_peer(self, since, reply):
+        """The changes after `since`, as the state service would tell them; 410 if they are not all here."""
+        if self.revision < 0 or since < self.recent_after or since > self.revision:
+            reply(410, {"error": "not all of these changes are kept here"})
+            return
+        reply(200, wire.news([row for row in self.recent if row[2] > since], self.revision))
+
+    def on_changes_of_peer(self, since, status, body):
+        """Committed changes, whoever tells of them. They show nothing about contact: a peer's copy may lag."""
+        news = wire.read_news(body) if status == 200 else None
+        if news is not None and 0 <= since <= self.revision:
+            self.apply([(LIVE + key, data, stamp) for key, data, stamp in news[0]], news[1])
+            for actor in self.subscribers:
+                if actor.hears_contact:
+                    actor.tell("changed", [], self.revision, False)  # the revision counts, also with nothing new
+
     # --- the read barrier
 
     def on_sync(self, reply):
--- a/emberglade/state/wire.py
+++ b/emberglade/state/wire.py
@@ -51,6 +51,22 @@
         return None
 
 
+def news(rows, newest):
+    """Changes, as one controller tells them to another."""
+    return {"ledger_rev": newest, "news": [{"remove": key, "stamp": stamp} if data is None else {"put": key, "data": data, "stamp": stamp}
+                                           for key, data, stamp in rows]}
+
+
+def since(revision):
+    return {"since": revision}
+
+
+def read_since(body):
+    """The revision that a peer's copy has, or None."""
+    value = body.get("since") if isinstance(body, dict) else None
+    return value if type(value) is int else None
+
+
 def read_news(body):
     """([(key, data or None, stamp)], revision) or None when the body is odd."""
     if not isinstance(body, dict) or revision(body) is None:
--- a/tests/breakages.py
+++ b/tests/breakages.py
@@ -4,6 +4,7 @@
 """
 
 from emberglade.agents.desk import Desk
+from emberglade.agents.sightings import Sightings
 from emberglade.frontdoor.door import Door
 from emberglade.jobs.keeper import Keeper
 from emberglade.jobs.record import Job
@@ -34,13 +35,7 @@
 
 
 def deaf_to_cancellations(patch):
-    original = Desk.stop_of
-
-    def stop_of(self, key, want):
-        if self.jobs[key[0]].withdrawn:
-            return 0, 0
-        return original(self, key, want)
-    patch.setattr(Desk, "stop_of", stop_of)
+    patch.setattr(Desk, "see_withdrawal", lambda self, job_id, entry, revision: None)
 
 
 def forgets_the_final_state(patch):
@@ -95,3 +90,16 @@
 def blind_to_the_deaf(patch):
     """A machine that does not hear us counts as a good one."""
     patch.setattr(Desk, "listen", lambda self, known, report, sighting, now: None)
+
+
+def halts_wait_for_reports(patch):
+    """A withdrawn task is halted only by the answer to its machine's report."""
+    patch.setattr(Desk, "press_halts", lambda self, job_id: None)
+
+
+def silent_peers_know_nothing(patch):
+    """A peer that has not answered for a lease is taken for one that told nobody anything."""
+    def level_since(self):
+        now = max(said.got for said in self.told.values())
+        return min((at for name, at in self.level.items() if now - self.told[name].got < self.settings.lease_s), default=now)
+    patch.setattr(Sightings, "level_since", level_since)
--- a/tests/stand_ins/cluster.py
+++ b/tests/stand_ins/cluster.py
@@ -107,10 +107,15 @@
             self.world.at(40.0 if status == 200 and job_id in self.observer.final else 5.0, self.poll, job_id)
         self.world.request("user", self.world.random.choice(self.names), "GET", f"/submissions/{job_id}", None, 2.0, answered)
 
-    def abort(self, job_id, since=None):
+    def leader(self):
+        """Who leads, as the state service has it."""
+        return self.state.keys["eg/l/lead"][0]["node"]
+
+    def abort(self, job_id, since=None, node=None):
+        """`node`: the controller that the user's connection leads to; else any."""
         if job_id not in self.observer.accepted:
             # Users cancel what they know to be accepted.
-            self.world.at(1.0, self.abort, job_id)
+            self.world.at(1.0, self.abort, job_id, None, node)
             return
         since = self.world.now if since is None else since
         self.observer.asked_abort.add(job_id)
@@ -120,8 +125,8 @@
         def answered(status, body):
             self.observer.told(job_id, asked, status, body)
             if status != 200 and self.world.now - since < 60:
-                self.world.at(1.0 + self.world.random.random(), self.abort, job_id, since)
-        self.world.request("user", self.world.random.choice(self.names), "POST", f"/submissions/{job_id}/abort", {}, 5.0, answered)
+                self.world.at(1.0 + self.world.random.random(), self.abort, job_id, since, node)
+        self.world.request("user", node or self.world.random.choice(self.names), "POST", f"/submissions/{job_id}/abort", {}, 5.0, answered)
 
     def ask(self, node, method, path, body, answers):
         """One request as it is; the answer is kept."""
--- a/tests/stand_ins/observer.py
+++ b/tests/stand_ins/observer.py
@@ -7,6 +7,8 @@
         self.jobs = {}  # job -> submission, once a user has tried to submit it
         self.accepted = {}
         self.withdrawn_told = {}
+        self.withdrawn_off = {}  # job -> when the last of its tasks left a machine after that
+        self.starts_after_cancel = 0
         self.asked_abort = set()
         self.final = {}
         self.on = {}  # task -> {machine: zone}
@@ -57,11 +59,15 @@
         if limit and use > limit + 1e-9:
             self.breach("quota", f"{job['crew']} uses {use} of {limit}")
         told = self.withdrawn_told.get(job_id)
+        self.starts_after_cancel += told is not None
         if told is not None and self.world.now > told + self.cancel_s:
             self.breach("ran_cancelled", f"{name} starts {self.world.now - told:.1f} s after its cancellation")
 
     def left(self, name, machine):
         self.on.get(name, {}).pop(machine, None)
+        job_id = name.rpartition("/")[0]
+        if job_id in self.withdrawn_told:
+            self.withdrawn_off[job_id] = self.world.now
 
     def completed(self, name):
         job_id, _, number = name.rpartition("/")
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -48,7 +48,7 @@
     def __init__(self, patch, tmp_path):
         self.patch = patch
         self.seed, self.teams, self.plan, self.until, self.limits = 1, {}, [], 100.0, {}
-        self.cluster, self.answers = None, []
+        self.cluster, self.answers, self.named = None, [], {}
 
     def step(self, verb, words):
         if verb in ("seed", "until"):
@@ -82,6 +82,22 @@
                 self.cluster.world.at(float(words[0]), getattr(self, "do_" + words[1]), *words[2:])
         self.cluster.world.run(self.until)
 
+    def node(self, word):
+        """A controller by name, or one that `at T name WORD leader+N` has named."""
+        return self.named.get(word, word)
+
+    def do_name(self, word, who):
+        """From now on the word stands for the controller that leads now, or for the n-th one after it."""
+        names, _, steps = self.cluster.names, *who.partition("+")[1:]
+        self.named[word] = names[(names.index(self.cluster.leader()) + int(steps or 0)) % len(names)]
+
+    def do_report_to(self, node):
+        """All workers report to this controller, and their reports reach no other; commands still reach them."""
+        node, cluster = self.node(node), self.cluster
+        for machine in cluster.cloud.machines.values():
+            machine.node = cluster.names.index(node)
+        cluster.world.mute(list(cluster.cloud.machines), [n for n in cluster.names if n != node], 1e9)
+
     def do_machines(self, zone, count, *words):
         for _ in range(int(count)):
             self.cluster.cloud.add(zone, "spot" in words, 0.0)
@@ -94,19 +110,20 @@
         for number in range(int(count)):
             self.cluster.world.at(number / 10, self.do_submit, f"job-{prefix}{number}", *words)
 
-    def do_abort(self, job_id):
-        self.cluster.abort(job_id)
+    def do_abort(self, job_id, node=None):
+        self.cluster.abort(job_id, node=self.node(node))
 
     def do_user_asks(self, job_id):
         self.cluster.poll(job_id)
 
     def do_crash(self, node, seconds):
-        for name in self.cluster.names if node == "all" else [node]:
+        for name in self.cluster.names if node == "all" else [self.node(node)]:
             self.cluster.crash(name, float(seconds))
 
     def do_cut(self, first, second, seconds, mode):
         groups = {"workers": list(self.cluster.cloud.machines), "nodes": self.cluster.names}
-        self.cluster.world.cut(groups.get(first, [first]), groups.get(second, [second]), float(seconds), mode)
+        first, second = (groups.get(word, [self.node(word)]) for word in (first, second))
+        self.cluster.world.cut(first, [name for name in second if name not in first], float(seconds), mode)
 
     def do_cut_zone(self, zone, seconds, mode):
         """Everything in the zone, the controller there included, is cut off from everything else."""
@@ -131,6 +148,7 @@
 
     def do_lone(self, node, seconds, mode):
         """A controller loses the state service and the other controllers, but not its workers."""
+        node = self.node(node)
         self.cluster.world.cut([node], ["state", *(n for n in self.cluster.names if n != node)], float(seconds), mode)
 
     def do_peers_refuse(self, seconds):
@@ -146,7 +164,7 @@
         self.cluster.observer.quiet_since = self.cluster.world.now
 
     def do_refuse(self, node, seconds):
-        self.cluster.state.refused[node] = self.cluster.world.now + float(seconds)
+        self.cluster.state.refused[self.node(node)] = self.cluster.world.now + float(seconds)
 
     def do_state_outage(self, seconds):
         self.cluster.state.outage(float(seconds))
@@ -197,6 +215,26 @@
     def expect_state(self, job_id, state):
         assert self.cluster.observer.final.get(job_id, [None])[0] == state
 
+    def slow(self, prefix, seconds):
+        observer = self.cluster.observer
+        told = {job: at for job, at in observer.withdrawn_told.items() if job.startswith("job-" + prefix)}
+        assert told
+        return {job: round(observer.withdrawn_off.get(job, 0) - at, 1) for job, at in told.items()
+                if observer.withdrawn_off.get(job, 0) - at > float(seconds)}
+
+    def expect_off(self, prefix, seconds):
+        """All withdrawn jobs of that name had nothing left that long after their users were told."""
+        assert not self.slow(prefix, seconds), self.slow(prefix, seconds)
+
+    def expect_not_off(self, prefix, seconds):
+        """For broken builds: some of them had."""
+        assert self.slow(prefix, seconds)
+
+    def expect_told(self, least, before):
+        """So many withdrawals were told before that moment: the meeting took place."""
+        told = sorted(self.cluster.observer.withdrawn_told.values())
+        assert sum(at < float(before) for at in told) >= int(least), told
+
     def expect_unfinished(self, job_id):
         """For broken builds: the job is not over by now."""
         assert job_id in self.cluster.observer.accepted and job_id not in self.cluster.observer.final
