--- a/tests/stand_ins/world.py
+++ b/tests/stand_ins/world.py
@@ -18,6 +18,7 @@
         self.hosts = {}  # name -> handler(method, path, body, source, reply) or None while down
         self.cuts = []  # [first set of hosts, second set, until, mode]
         self.mutes = []  # [from these hosts, to those, until]: lost in this direction alone
+        self.closed = []  # [these hosts, to those, until]: can't open connections, while the other way works
         self.repeat = 0.0  # chance that a request arrives a second time, late
         self.copies = None  # (path, chance, least delay, most delay, hosts): copies that come late, to any of them
         self.loss = 0.0  # chance that a message is lost
@@ -39,6 +40,9 @@
     def mute(self, sources, targets, seconds):
         self.mutes.append((set(sources), set(targets), self.now + seconds))
 
+    def close(self, sources, targets, seconds):
+        self.closed.append((set(sources), set(targets), self.now + seconds))
+
     def blocked(self, source, target):
         for first, second, until, mode in self.cuts:
             if until > self.now and ((source in first and target in second) or (source in second and target in first)):
@@ -78,7 +82,8 @@
             if handler is not None:
                 handler(method, path, payload, source, answered)
 
-        self.carry(source, target, lambda: arrive(answer))
+        if not any(source in sources and target in targets and until > self.now for sources, targets, until in self.closed):
+            self.carry(source, target, lambda: arrive(answer))
         if self.random.random() < self.repeat:
             self.at(self.random.uniform(1, 40), lambda: arrive(lambda *_: None))
         if self.copies is not None and path == self.copies[0] and self.random.random() < self.copies[1]:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -96,7 +96,7 @@
         node, cluster = self.node(node), self.cluster
         for machine in cluster.cloud.machines.values():
             machine.node = cluster.names.index(node)
-        cluster.world.mute(list(cluster.cloud.machines), [n for n in cluster.names if n != node], 1e9)
+        cluster.world.close(list(cluster.cloud.machines), [n for n in cluster.names if n != node], 1e9)
 
     def do_machines(self, zone, count, *words):
         for _ in range(int(count)):
@@ -146,6 +146,11 @@
         """The machine's reports arrive; answers and commands don't reach it."""
         self.cluster.world.mute(self.cluster.names, [machine], float(seconds))
 
+    def do_mute(self, machine, seconds):
+        """The machine reaches no controller; direct commands and their answers still pass."""
+        machines = list(self.cluster.cloud.machines) if machine == "all" else [machine]
+        self.cluster.world.close(machines, self.cluster.names, float(seconds))
+
     def do_lone(self, node, seconds, mode):
         """A controller loses the state service and the other controllers, but not its workers."""
         node = self.node(node)
