Tasks that can run in one zone only get machines rented there

Cause: demand is counted by type, and rentals went to the zone with the fewest machines. Each node's table now says how many machines such tasks lack in their zone; the leader rents them there once it is seen twice.

--- a/emberglade/agents/gossip.py
+++ b/emberglade/agents/gossip.py
@@ -167,7 +167,7 @@
         self.after(TABLE_S, "tables")
         self.keeper.tell("demand", self.then("table_demand"))
 
-    def on_table_demand(self, demand):
+    def on_table_demand(self, demand, shortage):
         """Counts and machines, in as many values as they need; they share one transaction."""
         now = self.now()
         types, zones = sorted(self.types), self.settings.zones
@@ -186,6 +186,7 @@
         self.table_number += 1
         number = f"{self.incarnation}-{self.table_number}"
         first = {"t": number, "parts": len(places) - 1, "d": [[*pool, round(count, 4)] for pool, count in demand.items()], "wall": self.system.wall(),
+                 "z": [[*pool, round(count, 4)] for pool, count in shortage.items()],
                  "up": now - self.born, "contact": min(1e6, now - self.contact), "rev": self.revision, "types": types, "m": places[0]}
         self.member.tell("table", first, [{"t": number, "m": rows} for rows in places[1:]])
 
--- a/emberglade/fleet/steward.py
+++ b/emberglade/fleet/steward.py
@@ -115,6 +115,7 @@
         self.renting, self.returning, self.returned = {}, set(), {}
         self.wishes, self.marking = {}, {}
         self.refused = {}
+        self.short_before = {}  # machines missing in a zone as of the last round
         self.list_found, self.listing = [], False
         self.listed_once = False
         self.moves = 0.0  # replicas that may be moved by now
@@ -318,6 +319,7 @@
             self.targets[pool] = target
         for name, machine_type in self.types.items():
             self.balance(now, name, machine_type)
+            self.serve_zones(now, name, machine_type)
             self.consolidate(name)
         self.tidy(now)
 
@@ -353,6 +355,27 @@
             log.info("returning %s: idle for %g s above the target", some([m.name for m in chosen]), hold)
             self.mark([m.name for m in chosen], "drain")
 
+    def serve_zones(self, now, name, machine_type):
+        """Rents for tasks that can run in one zone only, where that zone has no room for them.
+
+        Once broken: enough machines by their count, all of them elsewhere, and such tasks waited for ever
+        (meetings/zone_bound.txt). Tables are some seconds old, so a shortage counts once it is seen twice.
+        """
+        short = {}
+        for table in self.tables.values():
+            for kind, spot, zone, count in table.get("z", ()):
+                if kind == name:
+                    short[(spot, zone)] = short.get((spot, zone), 0.0) + count
+        before, self.short_before[name] = self.short_before.get(name, {}), short
+        for (spot, zone), count in short.items():
+            coming = sum(m.zone == zone and (spot or not m.spot) and (not m.seen or m.idle_since is not None)
+                         for m in self.machines.values() if m.type == name and self.counted(m))
+            coming += sum(number for kind, where, cheap, number in self.renting.values()
+                          if (kind, where) == (name, zone) and (spot or not cheap))
+            missing = math.ceil(min(count, before.get((spot, zone), 0.0))) - coming
+            if missing > 0 and not (spot and self.rent(now, machine_type, True, missing, zone)):
+                self.rent(now, machine_type, False, missing, zone)
+
     def consolidate(self, name):
         """Empties a machine above the target that holds but a few replicas.
 
@@ -380,13 +403,13 @@
             log.info("draining %s: above the target, and its %d replicas find room elsewhere", machine, count)
             self.mark([machine], "drain")
 
-    def rent(self, now, machine_type, spot, count):
-        """Asks for machines in the zone that has fewest; False when every zone refused lately."""
+    def rent(self, now, machine_type, spot, count, only=None):
+        """Asks for machines in the zone that has fewest, or in that one only; False when every zone refused lately."""
         here = dict.fromkeys(machine_type.zones, 0)
         for machine in self.machines.values():
             if machine.zone in here and machine.spot == spot:
                 here[machine.zone] += 1
-        zones = [z for z in machine_type.zones if self.refused.get((machine_type.name, z, spot), 0) <= now]
+        zones = [z for z in machine_type.zones if only in (None, z) and self.refused.get((machine_type.name, z, spot), 0) <= now]
         if not zones:
             return False
         plan = {}
--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -492,10 +492,12 @@
     # --- questions of other slices
 
     def on_demand(self, reply):
-        """`reply({pool: machines})`: what own jobs ask for, in whole machines."""
+        """`reply({pool: machines}, {(type, spot, zone): machines})`: what own jobs ask for, in whole machines, and
+        what of it has no room in the only zone where it can run."""
         own = [job for job in self.jobs.values() if self.mine(job) and not job.withdrawn]
         reply(placement.demand(own, placement.headroom(own, self.settings.objectives, self.types, self.system.wall()),
-                               self.types, self.settings.teams))
+                               self.types, self.settings.teams),
+              placement.zone_shortage(own, self.room, self.open_machines.difference(self.marks.of), self.types))
 
     def on_occupied(self, reply):
         """`reply(machines that any bound task names)`."""
--- a/emberglade/placement/demand.py
+++ b/emberglade/placement/demand.py
@@ -4,6 +4,8 @@
 and spot machines can't serve everyone.
 """
 
+from .types import SLACK
+
 
 def demand(jobs, spare, types, teams):
     """{(type, spot): fraction of machines, not rounded, so that nodes' parts can be summed}."""
@@ -31,3 +33,31 @@
         key = (chosen.name, spec.spot)
         counts[key] = counts.get(key, 0.0) + tasks * share
     return counts
+
+
+def zone_shortage(jobs, room, usable, types):
+    """{(type, spot, zone): machines} for tasks that can run in one zone only and find no room there.
+
+    The counts above don't say where: with idle machines elsewhere no more would be rented, ever.
+    """
+    counts = {}
+    for job in jobs:
+        spec, zone = job.spec, job.spec.zone
+        waiting = min(job.waiting_count(), room.more_within_limit(spec))
+        if zone is None and spec.one_zone and waiting:
+            zone = next(iter(room.zones_of(job)[0]), None)
+        if zone is None or not waiting:
+            continue
+        for name in usable:
+            machine = room.machines[name]
+            if machine.zone == zone and (spec.spot or not machine.spot) and (spec.types is None or machine.type.name in spec.types):
+                free = room.free[name]
+                waiting -= int(min(have / need for have, need in zip(free, (spec.cpus, spec.gpus, spec.ram), strict=True) if need > 0) + SLACK)
+                if waiting <= 0:
+                    break
+        fitting = [t for t in types.values() if t.allows(spec) and zone in t.zones]
+        if waiting > 0 and fitting:
+            chosen = min(fitting, key=lambda t: ((t.spot_price if spec.spot else t.price) / t.holds(spec), t.name))
+            key = chosen.name, spec.spot, zone
+            counts[key] = counts.get(key, 0.0) + waiting / chosen.holds(spec)
+    return counts
