No task is stopped again and again for one that can't run, nor before its late turn has begun

And others of a team were stopped for its limit where no machine had room for the task that asked.

Change: a job has such a turn once in eight leases; its first tasks are left alone for four; nothing is stopped for the limit unless a machine can then take the task.

--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/keeper.py
@@ -143,7 +143,7 @@
         part.take_over(data, stamp)
 
     def bind(self, job, task, bound):
-        bound.since = self.now()
+        bound.since = job.last_bound = self.now()
         job.part(task).bound[task] = bound
         self.room.add(job, task, bound)
         machine = self.inventory.get(bound.machine)
--- a/emberglade/jobs/placer.py
+++ b/emberglade/jobs/placer.py
@@ -111,7 +111,17 @@
         A line by rank and due time alone leaves the largest and lowest jobs waiting for ever when
         more keeps coming than can be served.
         """
-        return wall - job.spec.submitted > 8 * self.settings.lease_s and not job.bound_count() and not job.done_count()
+        return (wall - job.spec.submitted > 8 * self.settings.lease_s and not job.bound_count() and not job.done_count()
+                and self.now() - job.last_bound > 8 * self.settings.lease_s)
+
+    def late_start(self, job, bound, now):
+        """Whether a task is the first sign of a job that waited that long: it is left alone for a while.
+
+        Once broken: what had its turn was stopped for a higher rank before it began, had its turn again, and
+        so on; neither ran (meetings/turn_and_stop.txt).
+        """
+        age = self.system.wall() - job.spec.submitted - (now - bound.since)
+        return now - bound.since < 4 * self.settings.lease_s < age / 2 and not job.done_count()
 
     def pressing(self, job, now):
         """Whether a waiting job may have others stopped now: a deadline leaves room for patience."""
@@ -157,7 +167,7 @@
             if job.withdrawn or not any(placement.preempt.may_stop(spec, job.spec, room, teams) for spec in kinds):
                 continue
             for task, bound in job.bound():
-                if not bound.stop and (job.id, task, bound.attempt) not in self.asked:
+                if not bound.stop and (job.id, task, bound.attempt) not in self.asked and not self.late_start(job, bound, now):
                     rows.setdefault(bound.machine, []).append((job, task, bound))
         for there in rows.values():
             there.sort(key=lambda row: placement.preempt.turn_to_go(row, fresh(row)))
@@ -166,7 +176,7 @@
             for _ in range(min(job.waiting_count(), 64)):
                 if not room.more_within_limit(job.spec):
                     victims = placement.preempt.for_limit(job.spec, rows, room, teams, fresh)
-                    if not victims:
+                    if not victims or not placement.preempt.finds_place(job, victims, turn):
                         break
                 elif turn.fill(job, 1):
                     continue
--- a/emberglade/jobs/record.py
+++ b/emberglade/jobs/record.py
@@ -150,6 +150,7 @@
         self.size = size
         self.withdrawn = withdrawn
         self.parts = {}
+        self.last_bound = float("-inf")  # when this node last saw a task of it bound; not durable
         self.hold = {}  # task -> earliest next try; not durable
 
     @property
--- a/emberglade/placement/preempt.py
+++ b/emberglade/placement/preempt.py
@@ -64,6 +64,30 @@
     return victims
 
 
+def finds_place(job, victims, turn):
+    """Whether a machine has room for one task once the victims are gone.
+
+    Once broken: others of the team were stopped for a task that no machine could take, were placed again, and
+    stopped again (meetings/preempts_in_vain.txt).
+    """
+    spec, room = job.spec, turn.room
+    zones, known = room.zones_of(job)
+    if not known and (spec.one_zone or spec.scatter):
+        return False
+    freed = {}
+    for other, _, bound in victims:
+        free = freed.setdefault(bound.machine, [0.0, 0.0, 0.0])
+        for slot, amount in enumerate((other.spec.cpus, other.spec.gpus, other.spec.ram)):
+            free[slot] += amount
+    return any(room.fits(spec, [have + more for have, more in zip(room.free[name], freed.get(name, (0.0, 0.0, 0.0)), strict=True)])
+               and turn.allowed(spec, name) and in_zone(spec, zones, room.machines[name].zone) for name in turn.usable)
+
+
+def in_zone(spec, zones, zone):
+    """Whether one more task may be in this zone, given how many are in which."""
+    return not ((spec.one_zone and zones and zone not in zones) or (spec.scatter and zones.get(zone, 0) >= (spec.tasks + 1) // 2))
+
+
 def for_room(job, rows, turn, teams, fresh):
     """The cheapest victims on one machine whose end makes room for one task, or None."""
     spec, room = job.spec, turn.room
@@ -74,8 +98,7 @@
     for name, there in rows.items():
         if name not in turn.usable or not turn.allowed(spec, name):
             continue
-        zone = room.machines[name].zone
-        if (spec.one_zone and zones and zone not in zones) or (spec.scatter and zones.get(zone, 0) >= (spec.tasks + 1) // 2):
+        if not in_zone(spec, zones, room.machines[name].zone):
             continue
         free, victims = list(room.free[name]), []
         for row in there:
