Meetings of troubles as scenarios; jobs that lack a field are refused; a repeat gets its job's state

A repeated submission of a known job gets its state whatever its body holds, as PROTOCOL's rule forgotten asks.

--- a/emberglade/frontdoor/door.py
+++ b/emberglade/frontdoor/door.py
@@ -104,12 +104,18 @@
 
     def on_submit(self, body, reply):
         try:
-            spec = wire.read_submission(orjson.loads(body), self.system.wall())
+            data = orjson.loads(body)
+            spec = wire.read_submission(data, self.system.wall())
         except ValueError:
             reply(400, wire.error("the body is not JSON"))
             return
         except wire.Malformed as reason:
-            reply(400, wire.error(str(reason)))
+            job_id = wire.read_id(data)
+            if job_id is None:
+                reply(400, wire.error(str(reason)))
+            else:
+                # A repeat gets its job's state, whatever its body holds now.
+                self.look_up(job_id, self.then("malformed", job_id, str(reason), reply))
             return
         if spec.id in self.final:
             self.tell_final(spec.id, reply)
@@ -142,6 +148,14 @@
                 return f"the job needs more {what} than the limit of {spec.team}"
         return None
 
+    def on_malformed(self, job_id, reason, reply, known, answer):
+        if known:
+            reply(200, answer)
+        elif known is None and job_id in self.live:
+            self.later(reply, "the state service does not answer")
+        else:
+            reply(400, wire.error(reason))
+
     def on_refusal(self, reason, reply, known, answer):
         if known is None:
             self.later(reply, "the state service does not answer")
--- a/emberglade/frontdoor/wire.py
+++ b/emberglade/frontdoor/wire.py
@@ -13,12 +13,10 @@
     """A one-line reason for the user."""
 
 
-def _amount(data, key, default=None):
+def _amount(data, key):
     value = data.get(key)
     if value is None:
-        if default is None:
-            raise Malformed(f"{key} is missing")
-        return default
+        raise Malformed(f"{key} is missing")
     if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value) or value < 0:
         raise Malformed(f"{key}: a number of at least 0 is needed")
     return float(value)
@@ -32,9 +30,7 @@
 
 
 def _flag(data, key):
-    value = data.get(key, False)
-    if value is None:
-        return False
+    value = data.get(key)
     if not isinstance(value, bool):
         raise Malformed(f"{key}: true or false is needed")
     return value
@@ -44,12 +40,18 @@
     return None if data.get(key) is None else _text(data, key)
 
 
+def read_id(data):
+    """The job's id if there is a proper one, whatever else the body holds."""
+    job_id = data.get("id") if isinstance(data, dict) else None
+    return job_id if isinstance(job_id, str) and JOB_ID.match(job_id) else None
+
+
 def read_submission(data, submitted):
     """A Spec, or Malformed."""
     if not isinstance(data, dict):
         raise Malformed("the body is not a JSON object")
-    job_id = data.get("id")
-    if not isinstance(job_id, str) or not JOB_ID.match(job_id):
+    job_id = read_id(data)
+    if job_id is None:
         raise Malformed("id: a job id like job-000412 is needed")
     shape = data.get("shape")
     # `group` is not in PROTOCOL, but in what platforms send (docs/questions.md).
@@ -64,17 +66,14 @@
     types = data.get("hearth_kinds")
     if types is not None and (not isinstance(types, list) or not types or not all(isinstance(t, str) and t for t in types)):
         raise Malformed("hearth_kinds: a list of machine types or null is needed")
-    image = data.get("kindling")
-    if image is not None and not isinstance(image, str):
-        raise Malformed("kindling: a text is needed")
     due = None if data.get("due_s") is None else _amount(data, "due_s")
     return Spec(
         id=job_id, breed=_text(data, "breed"), team=_text(data, "crew"), service=shape == "standing", rank=RANKS.index(rank),
-        tasks=tasks, cpus=_amount(data, "cpus"), gpus=_amount(data, "cards", 0.0), ram=_amount(data, "ram_gb"),
-        image=image or "", image_gb=_amount(data, "image_gb", 0.0), types=tuple(types) if types is not None else None,
+        tasks=tasks, cpus=_amount(data, "cpus"), gpus=_amount(data, "cards"), ram=_amount(data, "ram_gb"),
+        image=_text(data, "kindling"), image_gb=_amount(data, "image_gb"), types=tuple(types) if types is not None else None,
         zone=_or_null(data, "glade"), one_zone=_flag(data, "one_zone"), scatter=_flag(data, "scatter"),
-        spot=_flag(data, "driftwood"), estimate_s=_amount(data, "burn_s", 0.0), checkpoint_s=_amount(data, "bank_s", 0.0),
-        save_s=_amount(data, "banking_s", 0.0), deadline_s=due, submitted=round(submitted, 3), together=shape == "group")
+        spot=_flag(data, "driftwood"), estimate_s=_amount(data, "burn_s"), checkpoint_s=_amount(data, "bank_s"),
+        save_s=_amount(data, "banking_s"), deadline_s=due, submitted=round(submitted, 3), together=shape == "group")
 
 
 def state(job_id, glow, done=None, running=None):
--- a/tests/stand_ins/cloud.py
+++ b/tests/stand_ins/cloud.py
@@ -12,7 +12,7 @@
 class Cloud:
     def __init__(self, world, plan, workers, observer, nodes):
         self.world, self.plan, self.settings, self.observer, self.nodes = world, plan, workers, observer, nodes
-        self.machines = {}
+        self.machines = observer.machines
         self.requests = {}
         self.views = []
         self.next = 0
@@ -281,6 +281,17 @@
                 use[1] += their["ram_gb"]
         return use[0] <= self.type["cpus"] + 1e-9 and use[1] <= self.type["ram_gb"] + 1e-9
 
+    def has_room(self, job):
+        """Whether one more task like this may run here."""
+        use = [0.0, 0.0]
+        for other, row in self.tasks.items():
+            if row[1] != "exited":
+                their = self.cloud.observer.jobs[other.rpartition("/")[0]]
+                use[0] += their["cpus"]
+                use[1] += their["ram_gb"]
+        return (use[0] + job["cpus"] <= self.type["cpus"] and use[1] + job["ram_gb"] <= self.type["ram_gb"] and job["glade"] in (None, self.zone)
+                and (job["driftwood"] or not self.spot) and self.type["label"] in (job["hearth_kinds"] or [self.type["label"]]))
+
     def run(self, name, serial, job):
         if self.hung:
             self.world.at(0.5, self.run, name, serial, job)
--- a/tests/stand_ins/cluster.py
+++ b/tests/stand_ins/cluster.py
@@ -17,6 +17,10 @@
        "scatter": False, "driftwood": False, "burn_s": 10.0, "bank_s": 0.0, "banking_s": 0.0, "due_s": None}
 
 
+# The fields of a submission that PROTOCOL does not let be null.
+NOT_NULL = [name for name in JOB if name not in ("hearth_kinds", "glade", "due_s")] + ["id"]
+
+
 class Cluster:
     def __init__(self, seed, zones=("a", "b", "c"), teams=None, **limits):
         self.world = World(seed)
@@ -25,6 +29,9 @@
         self.limits = limits = {**LIMITS, **limits}
         self.names = [f"hearth-{n}" for n in range(limits["nodes"])]
         self.observer = Observer(self.world, limits["cancel_s"], self.teams)
+        self.observer.job_ended = self.job_ended
+        self.cancels_at_end = (0.0, -1.0)  # (share, until)
+        self.asked_at_end = 0
         self.state = StateService(self.world, **{key: limits[key] for key in ("rps", "write_rps", "value_bytes", "txn_ops")})
         plan = {"type": {"label": "box", "cpus": 8.0, "ram_gb": 32.0, "local_gb": 30.0, "fetch_gb_per_s": 0.2, "price": 0.6,
                          "spot_price": 0.2, "boot_s": 15.0, "glades": list(zones)},
@@ -68,6 +75,16 @@
             self.world.hosts[name] = None
             self.world.at(seconds, self.begin, name)
 
+    def crash_leader(self, seconds):
+        lead = self.state.keys.get("eg/l/lead")
+        if lead is not None:
+            self.crash(lead[0]["node"], seconds)
+
+    def all_is_quiet(self):
+        """All troubles are over."""
+        self.observer.quiet_since = self.world.now
+        self.world.copies, self.world.loss, self.world.repeat = None, 0.0, 0.0
+
     def freeze(self, name, seconds):
         """The process stands still while its clocks run on; then it goes on with all that came."""
         self.processes[name].freeze(self.world.now + seconds)
@@ -128,6 +145,65 @@
                 self.world.at(1.0 + self.world.random.random(), self.abort, job_id, since, node)
         self.world.request("user", node or self.world.random.choice(self.names), "POST", f"/submissions/{job_id}/abort", {}, 5.0, answered)
 
+    def cancel_now(self, count, hang_s):
+        """Users call off that many running jobs within a fifth of a second; some of their machines hang."""
+        observer, rng = self.observer, self.world.random
+        running = sorted({name.rpartition("/")[0] for name, places in observer.on.items() if places} - observer.asked_abort)
+        chosen = rng.sample(running, min(count, len(running)))
+        for job_id in chosen:
+            self.world.at(rng.uniform(0, 0.2), self.abort, job_id)
+        if hang_s:
+            machines = sorted({m for name, places in observer.on.items() if name.rpartition("/")[0] in chosen for m in places})
+            for machine in rng.sample(machines, min(8, len(machines))):
+                if not self.cloud.machines[machine].hung:
+                    self.cloud.machines[machine].hang(hang_s)
+
+    def job_ended(self, job_id):
+        """The last task of an array has just completed: its user may call it off, ask, and submit it again."""
+        rng = self.world.random
+        if self.world.now < self.cancels_at_end[1] and rng.random() < self.cancels_at_end[0]:
+            self.asked_at_end += 1
+            self.world.at(rng.uniform(0, 2.0), self.abort, job_id)
+            self.world.at(rng.uniform(0, 2.0), self.poll_once, job_id)
+            self.world.at(rng.uniform(0, 2.0), self.submit_again, job_id)
+
+    def poll_once(self, job_id):
+        asked = self.world.now
+        self.world.request("user", self.world.random.choice(self.names), "GET", f"/submissions/{job_id}", None, 2.0,
+                           lambda status, body: self.observer.told(job_id, asked, status, body))
+
+    def submit_again(self, job_id, **changed):
+        asked = self.world.now
+        self.world.request("user", self.world.random.choice(self.names), "POST", "/submissions",
+                           {**self.observer.jobs[job_id], **changed}, 5.0,
+                           lambda status, body: self.observer.told(job_id, asked, status, body))
+
+    def odd_requests(self, seconds):
+        """Repeats with another body, cancellations of what is done, jobs that fit nowhere or lack a field."""
+        rng, observer = self.world.random, self.observer
+        for number in range(int(seconds)):
+            self.world.at(rng.uniform(0, seconds), self.odd_request, rng.randrange(4), f"job-odd{self.world.now:.0f}x{number}")
+        observer.odd_until = self.world.now + seconds
+
+    def odd_request(self, kind, odd_id):
+        rng, observer = self.world.random, self.observer
+        known = sorted(set(observer.accepted) - set(observer.final))
+        done = sorted(job for job, row in observer.final.items() if row[0] == "done")
+        if kind == 0 and known:
+            self.submit_again(rng.choice(known), **rng.choice([{}, {"cpus": 1000.0}, {"cpus": None}, {"crew": "nobody"}, {"embers": -1}]))
+        elif kind == 1 and done:
+            job_id, asked = rng.choice(done), self.world.now
+            self.world.request("user", rng.choice(self.names), "POST", f"/submissions/{job_id}/abort", {}, 5.0,
+                               lambda status, body: observer.told(job_id, asked, status, body))
+        elif kind >= 2:
+            body = {**JOB, "id": odd_id, "crew": sorted(self.teams)[0]}
+            if kind == 2:
+                del body[rng.choice(NOT_NULL)]
+            else:
+                body.update(rng.choice([{"cpus": 500.0}, {"ram_gb": 1e6}, {"hearth_kinds": ["none"]}, {"glade": "nowhere"}, {"crew": "nobody"}]))
+            self.world.request("user", rng.choice(self.names), "POST", "/submissions", body, 5.0,
+                               lambda status, answer: observer.told_odd(odd_id, status))
+
     def ask(self, node, method, path, body, answers):
         """One request as it is; the answer is kept."""
         handler = self.world.hosts[node]
--- a/tests/stand_ins/faults.py
+++ b/tests/stand_ins/faults.py
@@ -28,6 +28,82 @@
         world.at(rng.uniform(20, until * 0.75), strike_many, cluster)
 
 
+# Troubles that the users' page lets meet.
+MEETING = ("refuse", "outage", "late_writes", "slow_state", "crash", "crash_all", "roll", "lone", "zone", "cut", "deaf", "mute", "hang",
+           "die", "cancel_now", "cancel_at_end", "odd", "peers_refuse", "freeze", "hold", "copies")
+
+
+def draw_meetings(cluster, jobs, count, until):
+    """Random work, and so many meetings of two to four troubles within a few seconds; returns when all is quiet."""
+    world, rng = cluster.world, cluster.world.random
+    draw(cluster, jobs, 0, until * 0.8)
+    end = 0.0
+    for _ in range(count):
+        at = rng.uniform(20, until * 0.7)
+        for _ in range(rng.randint(2, 4)):
+            kind, moment, seconds = rng.choice(MEETING), at + rng.uniform(0, 6), rng.choice([rng.uniform(1, 15), rng.uniform(15, 60)])
+            world.at(moment, meet, cluster, kind, seconds)
+            end = max(end, moment + seconds)
+    world.at(end + 12, cluster.all_is_quiet)
+    return end + 12
+
+
+def meet(cluster, kind, seconds):
+    world, rng, state, cloud = cluster.world, cluster.world.random, cluster.state, cluster.cloud
+    lead = state.keys.get("eg/l/lead")
+    node = lead[0]["node"] if lead is not None and rng.random() < 0.6 else rng.choice(cluster.names)
+    others = [n for n in cluster.names if n != node]
+    machines = sorted(m.name for m in cloud.machines.values() if m.up and m.listed)
+    some = rng.sample(machines, min(len(machines), rng.randint(1, 4)))
+    mode = rng.choice(["hold", "lose"])
+    if kind == "refuse":
+        state.refused[node] = world.now + seconds
+    elif kind == "outage":
+        state.outage(seconds)
+    elif kind == "late_writes":
+        state.late = (rng.uniform(0.05, 0.5), world.now + seconds)
+    elif kind == "slow_state":
+        world.cut([node], ["state"], min(seconds, 3.0), "hold")
+    elif kind == "crash":
+        cluster.crash(node, rng.choice([0.05, 0.3, 3.0]))
+    elif kind == "crash_all":
+        for name in cluster.names:
+            cluster.crash(name, rng.choice([0.05, 0.3, 3.0, seconds]))
+    elif kind == "roll":
+        for number in range(10):
+            world.at(number * seconds / 10, cluster.crash_leader, rng.choice([0.05, 0.3, 1.0]))
+    elif kind == "lone":
+        world.cut([node], ["state", *others], seconds, mode)
+    elif kind == "zone":
+        cluster.cut_zone(rng.choice(cluster.zones), seconds, mode)
+    elif kind == "cut" and some:
+        world.cut(some, cluster.names, seconds, mode)
+    elif kind == "deaf" and some:
+        world.mute(cluster.names, some, seconds)
+    elif kind == "mute" and some:
+        world.close(rng.choice([some, machines]), cluster.names, seconds)
+    elif kind == "hang":
+        cloud.hang(rng.randint(1, 4), seconds)
+    elif kind == "die":
+        cloud.die(rng.randint(1, 3))
+    elif kind == "cancel_now":
+        cluster.cancel_now(rng.randint(1, 6), rng.choice([0, seconds]))
+    elif kind == "cancel_at_end":
+        cluster.cancels_at_end = (rng.uniform(0.3, 1.0), world.now + seconds)
+    elif kind == "odd":
+        cluster.odd_requests(seconds)
+    elif kind == "peers_refuse":
+        for name in cluster.names:
+            world.cut([name], [n for n in cluster.names if n != name], seconds, "lose")
+    elif kind == "freeze":
+        cluster.freeze(node, min(seconds, 25))
+    elif kind == "hold" and some:
+        # A command or a report, or its answer, is held up for seconds and then goes on.
+        world.cut(some, [node], min(seconds, 12), "hold")
+    elif kind == "copies":
+        world.copies = ("/agent/beat", rng.uniform(0.02, 0.3), 1.0, 60.0, cluster.names)
+
+
 def strike_many(cluster):
     rng, cloud = cluster.world.random, cluster.cloud
     count = int(rng.uniform(0.1, 0.35) * len(cloud.machines))
--- a/tests/stand_ins/observer.py
+++ b/tests/stand_ins/observer.py
@@ -19,6 +19,10 @@
         self.quiet_since = None  # when the last trouble was over, once that is known
         self.begun = {}  # job -> when its first task started
         self.submitted = {}
+        self.job_ended = lambda job_id: None  # called when an array's last task has completed
+        self.machines = {}  # the cloud's, set by the cluster
+        self.odd_answered = 0
+        self.waiting = {}  # job -> since when a task of it waits that could run
         self.polls = []  # (when, answered) of the last 90 s
         world.at(1.0, self.sweep)
 
@@ -71,7 +75,11 @@
 
     def completed(self, name):
         job_id, _, number = name.rpartition("/")
-        self.done.setdefault(job_id, set()).add(int(number))
+        done = self.done.setdefault(job_id, set())
+        new = int(number) not in done
+        done.add(int(number))
+        if new and len(done) == self.jobs[job_id]["embers"]:
+            self.job_ended(job_id)
 
     def sweep(self):
         for job_id, told in self.withdrawn_told.items():
@@ -85,8 +93,37 @@
             # Once all troubles are over, a job stays known however others fare.
             if self.quiet_since is not None and self.world.now - max(since, self.quiet_since) > 75:
                 self.breach("forgotten", f"no question about {job_id} is answered since {since:.0f}")
+        if self.quiet_since is not None:
+            self.look_for_waiting()
         self.world.at(1.0, self.sweep)
 
+    def look_for_waiting(self):
+        """Once all troubles are over, no task waits for 90 s that a machine has room for, within its team's limit."""
+        there = {}  # job -> its tasks that are on machines or on their way
+        use = dict.fromkeys(self.teams, 0.0)
+        for machine in self.machines.values():
+            for name, row in machine.tasks.items():
+                if row[1] != "exited":
+                    job_id, _, number = name.rpartition("/")
+                    there.setdefault(job_id, set()).add(int(number))
+                    use[self.jobs[job_id]["crew"]] += self.jobs[job_id]["cpus"]
+        for job_id in self.accepted:
+            job = self.jobs[job_id]
+            count = len(self.done.get(job_id, set()) | there.get(job_id, set()))
+            limit = self.teams[job["crew"]]["cpus_max"]
+            if (job_id in self.final or job_id in self.asked_abort or count >= job["embers"] or job["one_zone"] or job["scatter"]
+                    or (limit and use[job["crew"]] + job["cpus"] > limit)
+                    or not any(m.up and m.listed and not m.hung and not m.faulty and m.notice_at is None and m.has_room(job) for m in self.machines.values())):
+                self.waiting.pop(job_id, None)
+            elif self.world.now - max(self.waiting.setdefault(job_id, self.world.now), self.quiet_since) > 90:
+                self.breach("left_waiting", f"{job_id} waits since {self.waiting[job_id]:.0f}, and there is room")
+
+    def told_odd(self, job_id, status):
+        """The answer to a submission that lacks a field or can never run."""
+        self.odd_answered += status in (400, 422)
+        if status in (200, 201):
+            self.breach("accepted_odd", f"{job_id} is accepted")
+
     def served(self):
         """What of each class, team and of each class's largest jobs began (the largest: in four minutes)."""
         groups = {}
--- a/tests/stand_ins/state.py
+++ b/tests/stand_ins/state.py
@@ -19,6 +19,8 @@
         self.refused = {}  # node -> until
         self.level = {"requests": (rps, 0.0), "writes": (write_rps, 0.0)}
         self.written = {}  # eg/l/m and the like -> puts and removals
+        self.late = (0.0, -1.0)  # (share, until): transactions without an answer, carried out after newer ones
+        self.late_applied = 0  # of those, how many changed something
         self.odd = 0.0  # chance of a strange answer
         world.hosts["state"] = self.handle
 
@@ -47,7 +49,9 @@
         path, _, query = path.partition("?")
         options = dict(urllib.parse.parse_qsl(query))
         data = orjson.loads(body) if body else {}
-        if path == "/txn":
+        if path == "/txn" and self.world.now < self.late[1] and self.world.random.random() < self.late[0]:
+            self.world.at(self.world.random.uniform(2, 12), self.apply_late, data)
+        elif path == "/txn":
             reply(*self.txn(data))
         elif path == "/grants":
             self.next_lease += 1
@@ -80,6 +84,11 @@
         else:
             reply(404, {})
 
+    def apply_late(self, data):
+        before = self.revision
+        self.txn(data)
+        self.late_applied += self.revision > before
+
     def txn(self, data):
         writes = data.get("writes", [])
         assert len(writes) <= self.txn_ops and len(data.get("when", [])) <= 4 * self.txn_ops, "over the limits of a transaction"
--- a/tests/stand_ins/world.py
+++ b/tests/stand_ins/world.py
@@ -21,6 +21,7 @@
         self.closed = []  # [these hosts, to those, until]: can't open connections, while the other way works
         self.repeat = 0.0  # chance that a request arrives a second time, late
         self.copies = None  # (path, chance, least delay, most delay, hosts): copies that come late, to any of them
+        self.slow = 0.0  # most that a message takes longer
         self.loss = 0.0  # chance that a message is lost
 
     def at(self, delay, action, *args):
@@ -51,7 +52,7 @@
 
     def carry(self, source, target, deliver):
         """Delivers after a delay; behind a cut late ('hold') or never ('lose')."""
-        delay = 0.001 + self.random.random() * 0.004
+        delay = 0.001 + self.random.random() * (0.004 + self.slow)
         cut = self.blocked(source, target)
         if any(source in sources and target in targets and until > self.now for sources, targets, until in self.mutes):
             return
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -11,9 +11,10 @@
 from pathlib import Path
 
 import breakages
+import orjson
 import pytest
 from stand_ins import faults
-from stand_ins.cluster import Cluster
+from stand_ins.cluster import JOB, NOT_NULL, Cluster
 
 from emberglade.actors import Actor, ThreadSystem
 from emberglade.config import SettingsError, load_operators, load_platform
@@ -75,7 +76,10 @@
             return
         self.cluster = Cluster(self.seed, teams=self.teams or None, **self.limits)
         for verb, words in self.plan:
-            if verb == "random":
+            if verb == "random" and "meetings" in split(words)[1]:
+                named = split(words)[1]
+                self.until = faults.draw_meetings(self.cluster, named["jobs"], named["meetings"], self.until) + 130
+            elif verb == "random":
                 _, named = split(words)
                 faults.draw(self.cluster, named["jobs"], named["faults"], self.until, named.get("mass", 0))
             else:
@@ -164,9 +168,28 @@
         """Copies of reports come late, to any node."""
         self.cluster.world.copies = ("/agent/beat", float(chance), float(least), float(most), self.cluster.names)
 
+    def do_late_writes(self, share, seconds):
+        """That share of transactions gets no answer and is carried out 2 to 12 s later."""
+        self.cluster.state.late = (float(share), self.cluster.world.now + float(seconds))
+
+    def do_crash_leader(self, seconds):
+        self.cluster.crash_leader(float(seconds))
+
+    def do_crash_leaders(self, count, every, seconds):
+        for number in range(int(count)):
+            self.cluster.world.at(number * float(every), self.cluster.crash_leader, float(seconds))
+
+    def do_cancel_at_end(self, share, seconds):
+        self.cluster.cancels_at_end = (float(share), self.cluster.world.now + float(seconds))
+
+    def do_odd(self, seconds):
+        self.cluster.odd_requests(float(seconds))
+
+    def do_slow_links(self, seconds):
+        self.cluster.world.slow = float(seconds)
+
     def do_quiet(self):
-        """All troubles are over."""
-        self.cluster.observer.quiet_since = self.cluster.world.now
+        self.cluster.all_is_quiet()
 
     def do_refuse(self, node, seconds):
         self.cluster.state.refused[self.node(node)] = self.cluster.world.now + float(seconds)
@@ -198,7 +221,11 @@
         text = " ".join(body)
         if text.startswith("bytes:"):
             text = "x" * int(text[6:])
-        self.cluster.ask(node, method, path, text, self.answers)
+        elif text.startswith("job:"):
+            # A whole submission, but for these fields; null takes one away.
+            fields = {**JOB, **orjson.loads(text[4:])}
+            text = orjson.dumps({key: value for key, value in fields.items() if value is not None or key not in NOT_NULL}).decode()
+        self.cluster.ask(self.node(node), method, path, text, self.answers)
 
     def do_flood(self, node, count, job_id):
         for _ in range(int(count)):
@@ -240,6 +267,19 @@
         told = sorted(self.cluster.observer.withdrawn_told.values())
         assert sum(at < float(before) for at in told) >= int(least), told
 
+    def expect_late_applied(self, least):
+        assert self.cluster.state.late_applied >= int(least), self.cluster.state.late_applied
+
+    def expect_led(self, least):
+        """The lead was taken so often."""
+        assert self.cluster.state.written.get("eg/l/lead", 0) >= int(least), self.cluster.state.written
+
+    def expect_asked_at_end(self, least):
+        assert self.cluster.asked_at_end >= int(least), self.cluster.asked_at_end
+
+    def expect_odd_answers(self, least):
+        assert self.cluster.observer.odd_answered >= int(least), self.cluster.observer.odd_answered
+
     def expect_unfinished(self, job_id):
         """For broken builds: the job is not over by now."""
         assert job_id in self.cluster.observer.accepted and job_id not in self.cluster.observer.final
@@ -505,8 +545,16 @@
 KINDS = {"actors": ActorsScenario, "server": ServerScenario, "cluster": ClusterScenario, "sizing": SizingScenario, "settings": SettingsScenario}
 
 
-@pytest.mark.parametrize("file", FILES, ids=lambda file: str(file.relative_to(HERE))[:-4])
-def test_scenario(file, monkeypatch, tmp_path):
+def cases():
+    """Each file, once for each of its `seeds` if it names any."""
+    for file in FILES:
+        seeds = next((line.split()[1:] for line in file.read_text().splitlines() if line.startswith("seeds ")), [None])
+        for seed in seeds:
+            yield pytest.param(file, seed, id=str(file.relative_to(HERE))[:-4] + (f"-{seed}" if seed else ""))
+
+
+@pytest.mark.parametrize(("file", "seed"), list(cases()))
+def test_scenario(file, seed, monkeypatch, tmp_path):
     scenario, expected = None, 0
     for number, line in enumerate(file.read_text().splitlines(), 1):
         words = shlex.split(line, comments=True, posix=True)
@@ -515,6 +563,8 @@
         if words[0] == "kind":
             scenario = KINDS[words[1]](monkeypatch, tmp_path)
             continue
+        if words[0] == "seeds":
+            words = ["seed", seed]
         expected += words[0] in ("expect", "operators")
         try:
             scenario.step(words[0], words[1:])
