--- a/tests/breakages.py
+++ b/tests/breakages.py
@@ -9,6 +9,7 @@
 from emberglade.jobs.keeper import Keeper
 from emberglade.jobs.record import Job
 from emberglade.placement.room import Room
+from emberglade.state.ledger import LIVE, Ledger
 
 
 def moves_without_proof(patch):
@@ -103,3 +104,79 @@
         now = max(said.got for said in self.told.values())
         return min((at for name, at in self.level.items() if now - self.told[name].got < self.settings.lease_s), default=now)
     patch.setattr(Sightings, "level_since", level_since)
+
+
+def never_silent(patch):
+    """A controller answers workers however long it has heard of nothing new."""
+    patch.setattr(Desk, "entitled", lambda self, now: self.revision >= 0)
+
+
+def any_attempt(patch):
+    """An exit counts for whichever attempt is bound now."""
+    original = Keeper.on_exited
+
+    def on_exited(self, job_id, task, attempt, machine, why, saved):
+        job = self.jobs.get(job_id)
+        bound = job.part(task).bound.get(task) if job is not None else None
+        if bound is not None:
+            attempt, machine = bound.attempt, bound.machine
+        original(self, job_id, task, attempt, machine, why, saved)
+    patch.setattr(Keeper, "on_exited", on_exited)
+
+
+def unfenced_flights(patch):
+    """A commit without an answer is taken for one that was not carried out."""
+    patch.setattr(Keeper, "on_fence_flight", lambda self: self.ledger.tell("sync", self.then("resync")))
+
+
+def writes_without_conditions(patch):
+    """Commits of jobs hang on nothing: not on the shard's epoch, nor on what the record was."""
+    original = Ledger.on_commit
+
+    def on_commit(self, rank, conditions, writes, reply):
+        original(self, rank, [c for c in conditions if not c[0].startswith((LIVE + "j/", LIVE + "s/", LIVE + "t/")) or not c[1]], writes, reply)
+    patch.setattr(Ledger, "on_commit", on_commit)
+
+
+def tells_unsynced(patch):
+    """Users are told what the copy shows, however old it is."""
+    patch.setattr(Ledger, "on_sync", lambda self, reply: reply(self.revision if self.revision >= 0 else None))
+
+
+def starts_unsynced(patch):
+    """Answers start whatever the copy shows, however old it is."""
+    original = Desk.commands
+    patch.setattr(Desk, "commands", lambda self, known, synced: original(self, known, True))
+
+
+def forgets_bound(patch):
+    """What is bound on a machine that is not heard does not count."""
+    original = Room.inventory
+
+    def inventory(self, machines):
+        gone = [(job, task, bound) for name, rows in self.on.items() if name not in machines or not machines[name].open
+                for (_, task), (job, bound) in rows.items()]
+        for job, _, _ in gone:
+            use = self.team_use.get(job.spec.team)
+            use[0] = max(0.0, use[0] - job.spec.cpus)
+        original(self, machines)
+    patch.setattr(Room, "inventory", inventory)
+
+
+def proves_by_silence(patch):
+    """A machine that the leader has not heard of is taken for one whose lease is over."""
+    patch.setattr(Sightings, "proven_over", lambda self, *_: True)
+
+
+def tells_before_commit(patch):
+    """A withdrawal is told before it is durable."""
+    original = Door.on_abort_synced
+
+    def on_abort_synced(self, job_id, reply, tries, revision):
+        if self.live.get(job_id) is not None:
+            reply(200, {"id": job_id, "glow": "withdrawn"})
+            self.after(5.0, "abort_late", job_id)
+        else:
+            original(self, job_id, reply, tries, revision)
+    patch.setattr(Door, "on_abort_synced", on_abort_synced)
+    patch.setattr(Door, "on_abort_late", lambda self, job_id: original(self, job_id, lambda *_: None, 0, self.ledger.revision), raising=False)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -546,15 +546,19 @@
 
 
 def cases():
-    """Each file, once for each of its `seeds` if it names any."""
+    """Each file, once for each of its `seeds` if it names any, and once for each line `guard BREAKAGE RULE`:
+    played with a build that lacks this guard, the scenario has to break the rule."""
     for file in FILES:
-        seeds = next((line.split()[1:] for line in file.read_text().splitlines() if line.startswith("seeds ")), [None])
+        name, rows = str(file.relative_to(HERE))[:-4], [line.split() for line in file.read_text().splitlines()]
+        seeds = next((row[1:] for row in rows if row[:1] == ["seeds"]), [None])
         for seed in seeds:
-            yield pytest.param(file, seed, id=str(file.relative_to(HERE))[:-4] + (f"-{seed}" if seed else ""))
+            yield pytest.param(file, seed, None, id=name + (f"-{seed}" if seed else ""))
+        for _, breakage, rule in (row for row in rows if row[:1] == ["guard"]):
+            yield pytest.param(file, seeds[0], (breakage, rule), id=f"{name}-{breakage}")
 
 
-@pytest.mark.parametrize(("file", "seed"), list(cases()))
-def test_scenario(file, seed, monkeypatch, tmp_path):
+@pytest.mark.parametrize(("file", "seed", "guard"), list(cases()))
+def test_scenario(file, seed, guard, monkeypatch, tmp_path):
     scenario, expected = None, 0
     for number, line in enumerate(file.read_text().splitlines(), 1):
         words = shlex.split(line, comments=True, posix=True)
@@ -562,6 +566,10 @@
             continue
         if words[0] == "kind":
             scenario = KINDS[words[1]](monkeypatch, tmp_path)
+            if guard is not None:
+                getattr(breakages, guard[0])(monkeypatch)
+            continue
+        if words[0] == "guard" or (guard is not None and words[0] == "expect"):
             continue
         if words[0] == "seeds":
             words = ["seed", seed]
@@ -570,6 +578,9 @@
             scenario.step(words[0], words[1:])
         except AssertionError as error:
             raise AssertionError(f"{file.name}:{number}: {line}\n{error}") from error
+    if guard is not None:
+        scenario.step("expect", ["broken", guard[1]])
+        expected += 1
     if hasattr(scenario, "end"):
         scenario.end()
     assert expected, "a scenario has to expect something"
