--- a/emberglade/agents/gossip.py
+++ b/emberglade/agents/exchange.py
@@ -1,4 +1,4 @@
-"""What the nodes tell each other, and the keeper and the leader, about machines."""
+"""What the nodes tell each other, and the job_manager and the leader, about machines."""
 
 import logging
 
@@ -7,7 +7,7 @@
 from ..placement import Machine
 from ..state import wire as state_wire
 from . import wire
-from .sightings import Sighting, Sightings
+from .failure_detector import FailureDetector, LastSeen
 
 log = logging.getLogger("emberglade.agents")
 
@@ -16,13 +16,13 @@
 MOST_VALUE = 32 * 1024  # of a table, however much the state service takes: transactions are limited too
 
 
-class Gossip:
-    """The part of the desk that asks peers, writes tables, and says what machines there are."""
+class PeerExchange:
+    """The part of the agents that asks peers, writes tables, and says what machines there are."""
 
     inventory_due = False
 
     def __init__(self, settings):
-        self.sightings = Sightings(settings)
+        self.detector = FailureDetector(settings)
         self.tables = {}  # node -> {key: data}
         self.table_number = 0
         self.asked = {}  # peer -> when it was asked
@@ -35,7 +35,7 @@
         """Asks peers for all machines now and then, and more often for those whose tasks wait for proof."""
         now = self.now()
         often, interval = min(1.0, self.settings.report_s) / 4, max(1.0, self.settings.report_s / 2)
-        lost = [name for name, mark in self.marks.items() if mark == "lost" and name in self.bound]
+        lost = [name for name, taint in self.taints.items() if taint == "lost" and name in self.bound]
         self.after(often if lost else interval, "ask_peers")
         whole = now - self.asked_whole >= interval - often / 2
         if not whole and not lost:
@@ -56,8 +56,8 @@
         if self.now() - self.inventory_told >= max(1.0, self.settings.report_s / 2):
             self.tell_inventory()
 
-    def sighting(self, known):
-        return Sighting(self.row(known, known.heard), max(known.heard, known.answered))
+    def last_seen(self, known):
+        return LastSeen(self.row(known, known.heard), max(known.heard, known.answered))
 
     @staticmethod
     def row(known, now):
@@ -70,14 +70,14 @@
 
         Workers go from node to node: without the latter half, each node would soon tell of them all.
         """
-        rows, view = {}, self.sightings.view
+        rows, view = {}, self.detector.view
         for name, known in self.known.items() if only is None else [(n, self.known[n]) for n in only if n in self.known]:
             quiet = now - known.heard
             if quiet >= within:
                 if quiet >= 10 * self.settings.lease_s:
                     continue
-                sighting = view.get(name)
-                if sighting is not None and sighting.age > known.report.age:
+                last_seen = view.get(name)
+                if last_seen is not None and last_seen.age > known.report.age:
                     continue
             report = known.report
             rows[name] = (round(now - max(known.heard, known.answered), 3), report.type, report.zone, report.spot, report.session,
@@ -86,7 +86,7 @@
 
     def on_heard(self, only, reply):
         """A peer asks what is known here; answered from a copy synced after the question."""
-        self.ledger.tell("sync", self.then("heard_synced", only, reply))
+        self.store.tell("sync", self.then("heard_synced", only, reply))
 
     def on_heard_synced(self, only, reply, revision):
         now = self.now()
@@ -95,14 +95,14 @@
 
     def on_peer_heard(self, name, asked, only, status, body):
         self.asked.pop(name, None)
-        if status == 200 and not self.sightings.hear(name, asked, self.now(), body, only):
+        if status == 200 and not self.detector.hear(name, asked, self.now(), body, only):
             log.info("%s made an odd statement; it is asked again", name)
         elif status == 200 and only is None:
-            self.sightings.compare_copies(self.revision)
-            if self.sightings.told[name].copy_revision > self.revision >= 0 and self.now() - self.contact > self.settings.report_s / 2:
+            self.detector.compare_copies(self.revision)
+            if self.detector.told[name].copy_revision > self.revision >= 0 and self.now() - self.contact > self.settings.report_s / 2:
                 # The state service is out of reach here. What it committed may be had from this peer.
                 self.peers[name].call("POST", "/peer/changes", state_wire.since(self.revision), 2 * self.settings.report_s,
-                                      lambda status, body, since=self.revision: self.ledger.tell("changes_of_peer", since, status, body))
+                                      lambda status, body, since=self.revision: self.store.tell("changes_of_peer", since, status, body))
 
     def soon_inventory(self):
         if not self.inventory_due:
@@ -128,44 +128,44 @@
         for name in [n for n, k in self.known.items() if now - k.heard > 10 * self.settings.lease_s]:
             del self.known[name]
         self.sent_home = {name: at for name, at in self.sent_home.items() if now - at < 4 * self.settings.lease_s}
-        self.sightings.forget_old(now)
+        self.detector.forget_old(now)
         fresh = 3 * self.settings.report_s + 1
-        if self.sightings.missing_peers(now):
+        if self.detector.missing_peers(now):
             # Their tables come less often than their answers would.
             fresh += TABLE_S
         inventory = {}
-        for name, sighting in self.sightings.view.items():
-            row = sighting.row
+        for name, last_seen in self.detector.view.items():
+            row = last_seen.row
             if row.type in self.types:
-                usable = now - sighting.heard < fresh and not row.notice and not row.deaf
+                usable = now - last_seen.heard < fresh and not row.notice and not row.deaf
                 old = self.inventory.get(name)
                 if old is None or (old.session, old.open) != (row.session, usable) or old.type is not self.types[row.type]:
                     old = Machine(name, self.types[row.type], row.zone, row.spot, row.session, usable)
                 inventory[name] = old
         self.inventory, self.inventory_told = inventory, now
-        self.keeper.tell("inventory", inventory)
+        self.job_manager.tell("inventory", inventory)
 
-    def on_silence(self, reply, marked=False):
-        """`reply({machine: (heard, proven over, deaf, whether it ever was)}, slack)` for the leader; of marked
+    def on_silence(self, reply, tainted=False):
+        """`reply({machine: (heard, proven over, deaf, whether it ever was)}, slack)` for the leader; of tainted
         machines only if so asked. Who was never heard counts from when this process began."""
         now = self.now()
         result = {}
         # Tables are older than what a peer would answer; that is not the machines' silence. Nor is it a
         # sign of life.
-        slack = TABLE_S if self.sightings.missing_peers(now) else 0.0
-        for name in sorted(set(self.marks) if marked else set(self.sightings.view) | set(self.bound) | set(self.marks)):
-            sighting, known, mark = self.sightings.view.get(name), self.known.get(name), self.marks.of.get(name)
+        slack = TABLE_S if self.detector.missing_peers(now) else 0.0
+        for name in sorted(set(self.taints) if tainted else set(self.detector.view) | set(self.bound) | set(self.taints)):
+            last_seen, known, taint = self.detector.view.get(name), self.known.get(name), self.taints.of.get(name)
             own = max(known.heard, known.answered) if known else self.born
-            heard = sighting.heard if sighting is not None else self.born
-            proven = mark is not None and self.sightings.proven_over(name, own, mark[1], mark[2], now)
-            result[name] = (heard, proven, sighting is not None and sighting.row.deaf, sighting is not None)
+            heard = last_seen.heard if last_seen is not None else self.born
+            proven = taint is not None and self.detector.proven_over(name, own, taint[1], taint[2], now)
+            result[name] = (heard, proven, last_seen is not None and last_seen.row.deaf, last_seen is not None)
         reply(result, slack)
 
     # --- tables in the state service
 
     def on_tables(self):
         self.after(TABLE_S, "tables")
-        self.keeper.tell("demand", self.then("table_demand"))
+        self.job_manager.tell("demand", self.then("table_demand"))
 
     def on_table_demand(self, demand, shortage):
         """Counts and machines, in as many values as they need; they share one transaction."""
@@ -207,6 +207,6 @@
                     rows[name] = [age_s, types[kind] if isinstance(kind, int) else kind,
                                   zones[zone] if isinstance(zone, int) else zone, *rest]
             body = {"up": table["up"], "contact": table["contact"], "rev": table["rev"], "known": rows}
-            self.sightings.read_table(node, self.now(), self.system.wall() - table["wall"], body)
+            self.detector.read_table(node, self.now(), self.system.wall() - table["wall"], body)
         except (KeyError, TypeError, ValueError, IndexError) as error:
             log.info("the table of %s is odd (%s); the next one is awaited", node, error)
--- a/emberglade/agents/sightings.py
+++ b/emberglade/agents/failure_detector.py
@@ -1,4 +1,4 @@
-"""Who heard which machine, when, and what that proves. Owned by the desk; no messages of its own.
+"""Who heard which machine, when, and what that proves. Owned by the agents; no messages of its own.
 
 Three sources tell of a machine: its reports here, what peers state when asked, and the tables that
 every node writes to the state service. The newest (session, tally) wins; whatever is not newer
@@ -15,7 +15,7 @@
 
 
 @dataclass(slots=True)
-class Sighting:
+class LastSeen:
     """A machine as the newest message that any node told of shows it."""
 
     row: wire.Row
@@ -48,10 +48,10 @@
         return self.got - (self.up_s if row is None else min(self.up_s, row.age_s))
 
 
-class Sightings:
+class FailureDetector:
     def __init__(self, settings):
         self.settings = settings
-        self.view = {}  # machine -> Sighting
+        self.view = {}  # machine -> LastSeen
         self.told = {}  # peer -> Statement, asked for directly
         self.brief = {}  # peer -> (machines asked about, Statement of only them)
         self.written = {}  # peer -> Statement, out of its table
@@ -65,7 +65,7 @@
         old = self.view.get(machine)
         age = row.session, row.tally
         if old is None or age > old.age:
-            self.view[machine] = Sighting(row, heard)
+            self.view[machine] = LastSeen(row, heard)
             return True
         if age == old.age and heard > old.heard:
             old.heard = heard
@@ -139,11 +139,11 @@
         for name in [name for name, s in self.view.items() if s.heard < oldest]:
             del self.view[name]
 
-    def proven_over(self, machine, own_heard, mark_stamp, mark_seen, now):
+    def proven_over(self, machine, own_heard, taint_stamp, taint_seen, now):
         """Whether every lease that a node may have renewed for this machine has run out.
 
-        Each node states, from a copy that shows the mark, when it last heard or answered the
-        machine. For a node that can't be asked its own key speaks: without it, and with the mark in
+        Each node states, from a copy that shows the taint, when it last heard or answered the
+        machine. For a node that can't be asked its own key speaks: without it, and with the taint in
         its copy, it does not answer this machine, and with an older copy it answers nobody for
         longer than `blind_s` (docs/safety.md, 7).
         """
@@ -154,12 +154,12 @@
             only, brief = self.brief.get(peer.name, ((), None))
             said = [(s.last_heard(machine), s.asked)
                     for s in (self.told.get(peer.name), self.written.get(peer.name), brief if machine in only else None)
-                    if s is not None and s.revision is not None and s.revision >= mark_stamp]
+                    if s is not None and s.revision is not None and s.revision >= taint_stamp]
             gone = self.absent.get(peer.name)
             if gone is not None:
                 # Once broken: this node was left out of the account, though a worker that it had
                 # kept alive could go to a node whose statement was older (rules/fence.txt).
-                said.append((max(gone, mark_seen) + self.settings.blind_s * DRIFT, self.contact))
+                said.append((max(gone, taint_seen) + self.settings.blind_s * DRIFT, self.contact))
             if not said:
                 return False
             its_last, its_covered = max(said, key=lambda pair: pair[1] - pair[0])
--- a/emberglade/agents/desk.py
+++ b/emberglade/agents/manager.py
@@ -1,4 +1,4 @@
-"""The desk where workers report.
+"""The agents where workers report.
 
 Every node answers any worker. Commands are derived from the committed copy alone, and a start
 only from a copy synced after the report arrived; the arguments are in docs/safety.md.
@@ -9,15 +9,15 @@
 
 import orjson
 
-from ..fleet.marks import Marks
+from ..fleet.taints import Taints
 from ..jobs.record import KEEP, SAVE, STOP, Part, Spec, shard_of, task_name
 from ..membership import shard_count
 from ..placement import read_types
 from ..state import LIVE, Follower
 from ..state import wire as state_wire
-from ..state.ledger import DECISIONS
+from ..state.store import DECISIONS
 from . import wire
-from .gossip import Gossip
+from .exchange import PeerExchange
 from .withdrawals import Withdrawals
 
 log = logging.getLogger("emberglade.agents")
@@ -37,7 +37,7 @@
 
 
 class Entry:
-    """What the desk has of a live job: only what decides over commands."""
+    """What the agents has of a live job: only what decides over commands."""
 
     __slots__ = ("spec", "withdrawn", "withdrawn_at", "parts")
 
@@ -51,21 +51,21 @@
             yield from rows.items()
 
 
-class Desk(Gossip, Withdrawals, Follower):
+class AgentManager(PeerExchange, Withdrawals, Follower):
     hears_contact = True
 
-    def __init__(self, settings, ledger, keeper, member, peers, workers):
-        Gossip.__init__(self, settings)
+    def __init__(self, settings, store, job_manager, member, peers, workers):
+        PeerExchange.__init__(self, settings)
         Withdrawals.__init__(self, settings)
         self.settings = settings
-        self.ledger, self.keeper, self.member, self.peers, self.workers = ledger, keeper, member, peers, workers
+        self.store, self.job_manager, self.member, self.peers, self.workers = store, job_manager, member, peers, workers
         self.known = {}
         self.jobs = {}  # job -> Entry
         self.bound = {}  # machine -> {(job, task): (attempt, stop, revision at which the stop was seen, session)}
-        self.touched = set()  # machines whose bindings or mark changed since their last report here
+        self.touched = set()  # machines whose bindings or taint changed since their last report here
         self.fresh = []  # bindings and stops that came with the change at hand
         self.loose = {}
-        self.marks = Marks()
+        self.taints = Taints()
         self.holders = {}
         self.types = {}
         self.nodes = set()
@@ -90,7 +90,7 @@
 
     def on_contact(self, when, revision):
         self.contact = max(self.contact, when)
-        self.sightings.synced(when, revision)
+        self.detector.synced(when, revision)
 
     # --- the committed copy
 
@@ -100,14 +100,14 @@
             for job_id in [j for j in self.jobs if "j/" + j not in alive]:
                 self.drop_job(job_id)
             self.nodes = set()
-            self.marks.forget()
+            self.taints.forget()
         tables = set()
         for key, data, stamp in events:
             self.absorb(key, data, stamp, tables)
         self.revision = max(self.revision, revision)
-        self.sightings.compare_copies(self.revision)
+        self.detector.compare_copies(self.revision)
         if tables or whole:
-            self.sightings.nodes(self.nodes, self.now())
+            self.detector.nodes(self.nodes, self.now())
         for node in tables:
             self.read_table(node)
         fresh, self.fresh = self.fresh, []
@@ -142,7 +142,7 @@
             else:
                 self.loose.setdefault(job_id, {})[int(number)] = (data, stamp)
         elif key.startswith("m/"):
-            self.touched.update(self.marks.apply(key, data, stamp, self.now()))
+            self.touched.update(self.taints.apply(key, data, stamp, self.now()))
         elif key.startswith("s/"):
             if data is not None:
                 self.holders[int(key[2:])] = data.get("node")
@@ -164,7 +164,7 @@
                 tables.add(node)
         elif key.startswith("f/"):
             for fact in wire.read_facts(((data or {}).get("to") or {}).get(self.settings.node)):
-                self.keeper.tell(*fact)
+                self.job_manager.tell(*fact)
         elif key == "catalog" and data is not None:
             self.types = read_types(data)
 
@@ -211,22 +211,22 @@
             return
         now = self.now()
         better = self.better_node(now)
-        if better is not None and now - self.sightings.level_since() > self.settings.lease_s / 4:
+        if better is not None and now - self.detector.level_since() > self.settings.lease_s / 4:
             reply(421, wire.elsewhere(better))
             return
         name = report.machine
-        mark = self.marks.get(name)
-        if not self.entitled(now) or (mark and self.settings.node not in self.nodes):
+        taint = self.taints.get(name)
+        if not self.entitled(now) or (taint and self.settings.node not in self.nodes):
             # What this node tells could be older than a cancellation, or the proof that this
             # machine's leases are over counts on its silence.
             reply(503, {"error": "no contact with the state service"}, 1)
             return
-        home = self.home_node(report, now) if not mark else None
+        home = self.home_node(report, now) if not taint else None
         if home is not None:
             reply(421, wire.elsewhere(home))
             return
-        sighting = self.sightings.view.get(name)
-        if (sighting is not None and sighting.age >= report.age) or mark == "gone":
+        last_seen = self.detector.view.get(name)
+        if (last_seen is not None and last_seen.age >= report.age) or taint == "gone":
             # A copy that came late, perhaps of a machine that was returned: no sign of life. The
             # lease that its answer could renew is one that the newer message renewed already.
             reply(200, wire.answer(report.token, []))
@@ -235,10 +235,10 @@
         fresh = known is None
         if fresh:
             known = self.known[name] = Known(report, now)
-        self.listen(known, report, sighting, now)
+        self.listen(known, report, last_seen, now)
         before, known.report = known.report, report
         known.heard = known.answered = now
-        self.sightings.view[name] = self.sighting(known)
+        self.detector.view[name] = self.last_seen(known)
         if fresh:
             self.newcomers.append(name)
             self.soon_inventory()
@@ -266,7 +266,7 @@
         elif more:
             self.waited += 1
             self.waiting[self.waited] = (known, report, reply, now)
-            self.ledger.tell("sync", self.then("synced", self.waited))
+            self.store.tell("sync", self.then("synced", self.waited))
         else:
             self.answer(known, report, False, reply)
 
@@ -293,16 +293,16 @@
         token, commands, _ = self.commands(known, synced)
         reply(200, wire.answer(token, commands))
 
-    def listen(self, known, report, sighting, now):
+    def listen(self, known, report, last_seen, now):
         """Recognises a machine whose reports arrive while our answers don't reach it.
 
         Its leases end although it was answered all the time. It gets no more work, and is offered a
         token that it has not seen; once it reports that token, it hears us.
         """
         lease, report_s = self.settings.lease_s, self.settings.report_s
-        if sighting is not None and not known.deaf:
-            early = report.session > sighting.row.session and now - sighting.heard < lease - 2 * report_s
-            if early or sighting.row.deaf:
+        if last_seen is not None and not known.deaf:
+            early = report.session > last_seen.row.session and now - last_seen.heard < lease - 2 * report_s
+            if early or last_seen.row.deaf:
                 known.deaf, known.probe = True, None
                 if early:
                     self.deaf_now.append(report.machine)
@@ -320,7 +320,7 @@
         report, tasks = known.report, known.tasks
         token, commands, more = max(report.token, known.probe or 0), [], False
         bound = self.bound.get(report.machine, {})
-        marked = report.machine in self.marks
+        tainted = report.machine in self.taints
         for key, seen in tasks.items():
             name = task_name(*key)
             want = bound.get(key)
@@ -357,7 +357,7 @@
                 token = max(token, since)
             elif seen is not None and seen.state != "exited":
                 continue  # another attempt is still there; it is being stopped first
-            elif marked or known.deaf or report.notice_s is not None:
+            elif tainted or known.deaf or report.notice_s is not None:
                 continue
             elif not synced:
                 more = True
@@ -400,13 +400,13 @@
                 wire.start(name, attempt) if want[1] == KEEP else wire.halt(name, attempt, self.grace(entry, want[1])))
         now = self.now()
         for (machine, session), commands in machines.items():
-            sighting = self.sightings.view.get(machine)
-            if sighting is None:
+            last_seen = self.detector.view.get(machine)
+            if last_seen is None:
                 continue
-            row = sighting.row
-            if machine in self.marks or row.notice:
+            row = last_seen.row
+            if machine in self.taints or row.notice:
                 commands = [command for command in commands if wire.is_halt(command)]
-            if not commands or not row.addr or row.session != session or row.deaf or now - sighting.heard > self.settings.lease_s / 2:
+            if not commands or not row.addr or row.session != session or row.deaf or now - last_seen.heard > self.settings.lease_s / 2:
                 continue
             self.workers.call(row.addr, "POST", "/commands", wire.orders(self.revision, session, commands),
                               self.settings.report_s, self.then("ordered", machine))
@@ -425,7 +425,7 @@
         # Direct commands renew no lease, and where the worker reports is not this node's to say.
         if known is not None and known.report.age < report.age:
             known.report, known.tasks, known.heard, known.quiet = report, tasks, self.now(), False
-            self.sightings.view[report.machine] = self.sighting(known)
+            self.detector.view[report.machine] = self.last_seen(known)
         self.tell_holders(report, tasks)
 
     # --- telling the holders of jobs
@@ -455,7 +455,7 @@
         return told
 
     def on_ask_stop(self, job_id, task, attempt, how, reason):
-        """The keeper wants a task stopped that another node holds."""
+        """The job_manager wants a task stopped that another node holds."""
         self.pass_on("stop", job_id, task, attempt, how, reason)
 
     def holder_of(self, spec):
@@ -467,7 +467,7 @@
             return
         node = self.holder_of(entry.spec)
         if node == self.settings.node:
-            self.keeper.tell(message, job_id, *args)
+            self.job_manager.tell(message, job_id, *args)
         elif node in self.peers:
             self.outbox.setdefault(node, {})[(message, job_id, args[0])] = [message, job_id, *args]
             if not self.outbox_due:
@@ -501,7 +501,7 @@
                     rows.setdefault(node, []).append(fact)
         if rows or self.wrote_facts:
             self.wrote_facts = bool(rows)
-            self.ledger.tell("commit", DECISIONS, [], [state_wire.put(f"{LIVE}f/{self.settings.node}", {"to": rows})],
+            self.store.tell("commit", DECISIONS, [], [state_wire.put(f"{LIVE}f/{self.settings.node}", {"to": rows})],
                              lambda status, revision, failed: None)
 
     # --- who may answer
@@ -515,14 +515,14 @@
         if self.revision < 0:
             return False
         blind_s = self.settings.blind_s
-        return now - self.contact <= blind_s or now - self.sightings.level_since() <= blind_s
+        return now - self.contact <= blind_s or now - self.detector.level_since() <= blind_s
 
     def better_node(self, now):
         """A node that can follow the state service while this one can't."""
         quarter = self.settings.lease_s / 4
         if now - self.contact < quarter:
             return None
-        for name, said in self.sightings.told.items():
+        for name, said in self.detector.told.items():
             if now - said.got < 2 * self.settings.report_s and said.contact_s + now - said.got < quarter:
                 return name
         return None
@@ -540,13 +540,13 @@
             return None
         inside = []
         for peer in settings.peers:
-            said = self.sightings.told.get(peer.name)
+            said = self.detector.told.get(peer.name)
             if (peer.zone == report.zone and peer.name in self.nodes and said is not None
                     and now - said.got < 2 * settings.report_s and said.contact_s + now - said.got < settings.lease_s / 4
                     # It hears workers, or is to show by one now and then that it does.
                     and (said.hearing or now - self.tried_home.get(peer.name, float("-inf")) > settings.lease_s / 4)
                     # One node is not to hear them all, if most machines are in its zone.
-                    and said.hearing <= 3 * len(self.sightings.view) / settings.size):
+                    and said.hearing <= 3 * len(self.detector.view) / settings.size):
                 inside.append(peer.name)
         if not inside:
             return None
--- a/emberglade/agents/withdrawals.py
+++ b/emberglade/agents/withdrawals.py
@@ -16,7 +16,7 @@
 
 
 class Withdrawals:
-    """The part of the desk that sees to it that withdrawn tasks end, whoever their machines report to."""
+    """The part of the agents that sees to it that withdrawn tasks end, whoever their machines report to."""
 
     def __init__(self, settings):
         self.withdrawn = {}  # live withdrawn job -> from when on its tasks are halted directly
@@ -92,12 +92,12 @@
             if len(self.halting) >= self.most_halting:
                 self.held_back = True
                 return
-            sighting = self.sightings.view.get(machine)
+            last_seen = self.detector.view.get(machine)
             last = self.halted.get(machine, (0, float("-inf")))
-            if sighting is None or not sighting.row.addr or sighting.row.session > session or machine in self.halting \
+            if last_seen is None or not last_seen.row.addr or last_seen.row.session > session or machine in self.halting \
                     or (last[0] == session and now - last[1] < self.settings.report_s and self.withdrawn[job_id] < last[1]):
                 continue
-            self.send_halts(machine, session, sighting.row.addr, self.revision)
+            self.send_halts(machine, session, last_seen.row.addr, self.revision)
 
     def send_halts(self, machine, session, addr, token):
         """All of this machine's withdrawn tasks in one message.
--- a/emberglade/config/operators.py
+++ b/emberglade/config/operators.py
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True)
 class Operators:
-    """Defaults are those of DESIGN-emberglade, or marked there as open."""
+    """Defaults are those of DESIGN-emberglade, or tainted there as open."""
 
     epsilon: float = 0.5
     cost_round_s: float = 5.0
--- a/emberglade/fleet/__init__.py
+++ b/emberglade/fleet/__init__.py
@@ -1,5 +1,5 @@
 """Fleet: the catalog, rentals, returns, drains, boot failures; the leader's work."""
 
-from .steward import Steward
+from .autoscaler import Autoscaler
 
-__all__ = ["Steward"]
+__all__ = ["Autoscaler"]
--- a/emberglade/fleet/steward.py
+++ b/emberglade/fleet/autoscaler.py
@@ -1,8 +1,8 @@
-"""The steward of the fleet. Only the leader's acts; every node's keeps the catalog at hand.
+"""The autoscaler of the fleet. Only the leader's acts; every node's keeps the catalog at hand.
 
 Every durable step is conditional on the lead's key, so a former leader can't write any more.
 What it may still do at the cloud harms nobody: names of requests are never used twice, and a
-machine's return is proof for moving its tasks only to the leader that then writes the mark.
+machine's return is proof for moving its tasks only to the leader that then writes the taint.
 """
 
 import logging
@@ -14,9 +14,9 @@
 from ..sizing import Sizer, family
 from ..state import LIVE, Follower
 from ..state import wire as state_wire
-from ..state.ledger import DECISIONS
+from ..state.store import DECISIONS
 from . import wire
-from .marks import Marks
+from .taints import Taints
 
 log = logging.getLogger("emberglade.fleet")
 
@@ -47,15 +47,15 @@
     deaf_since: float | None = None  # its reports arrive, answers don't reach it
 
 
-class Steward(Follower):
-    def __init__(self, settings, operators, ledger, keeper, desk, cloud):
+class Autoscaler(Follower):
+    def __init__(self, settings, operators, store, job_manager, agents, cloud):
         self.settings, self.operators = settings, operators
-        self.ledger, self.keeper, self.desk, self.cloud = ledger, keeper, desk, cloud
+        self.store, self.job_manager, self.agents, self.cloud = store, job_manager, agents, cloud
         self.lead = None
         self.leading = False
         self.types = {}
         self.catalog_asked = -1e9
-        self.marks = Marks()
+        self.taints = Taints()
         self.tables = {}
         self.machines = {}
         self.sizers = {}
@@ -65,8 +65,8 @@
         self.renting = {}  # request -> (type, zone, spot, count)
         self.returning = set()
         self.returned = {}  # machine -> when the cloud's 200 came
-        self.wishes = {}  # machine -> the mark that it is to have
-        self.marking = {}  # those that are being written
+        self.wishes = {}  # machine -> the taint that it is to have
+        self.tainting = {}  # those that are being written
         self.listing = False
         self.list_found = []
         self.list_asked = 0.0
@@ -88,10 +88,10 @@
         self.loaded = True
         if whole:
             self.lead = None
-            self.marks.forget()
+            self.taints.forget()
         for key, data, stamp in events:
             if key.startswith("m/"):
-                self.marks.apply(key, data, stamp, self.now())
+                self.taints.apply(key, data, stamp, self.now())
             elif key == "lead":
                 self.lead = None if data is None else (data.get("node"), data.get("inc"), stamp)
             elif key == "catalog" and data is not None:
@@ -113,7 +113,7 @@
         self.since = self.now()
         self.machines, self.sizers, self.targets = {}, {}, {}
         self.renting, self.returning, self.returned = {}, set(), {}
-        self.wishes, self.marking = {}, {}
+        self.wishes, self.tainting = {}, {}
         self.refused = {}
         self.short_before = {}  # machines missing in a zone as of the last round
         self.list_found, self.listing = [], False
@@ -126,7 +126,7 @@
             self.ask_catalog()
 
     def commit(self, writes, reply):
-        self.ledger.tell("commit", DECISIONS, [(LIVE + "lead", self.lead[2])], writes, reply)
+        self.store.tell("commit", DECISIONS, [(LIVE + "lead", self.lead[2])], writes, reply)
 
     # --- every second
 
@@ -143,15 +143,15 @@
         if not self.listing and now - self.list_asked > self.settings.list_lag_s / 2:
             self.list_asked, self.listing, self.list_found = now, True, []
             self.cloud.call("GET", wire.list_path(""), None, 3.0, self.then("listed"))
-        self.keeper.tell("occupied", self.then("occupancy"))
-        self.desk.tell("silence", self.then("silent"))
+        self.job_manager.tell("occupied", self.then("occupancy"))
+        self.agents.tell("silence", self.then("silent"))
         self.count_demand(now)
 
     def on_watch(self):
         """Tasks of a silent machine wait for its lease to be proven over: that is asked more often."""
         self.after(self.settings.report_s / 6, "watch")
-        if self.leading and any(mark == "lost" and name in self.occupied for name, mark in self.marks.items()):
-            self.desk.tell("silence", self.then("silent"), True)
+        if self.leading and any(taint == "lost" and name in self.occupied for name, taint in self.taints.items()):
+            self.agents.tell("silence", self.then("silent"), True)
 
     def count_demand(self, now):
         total = {}
@@ -203,7 +203,7 @@
             names.add(row.name)
             machine = self.machines.get(row.name)
             if machine is None:
-                if row.name in self.returned or self.marks.get(row.name) == "gone":
+                if row.name in self.returned or self.taints.get(row.name) == "gone":
                     continue
                 machine = self.machines[row.name] = Machine(row.name, row.type, row.zone, row.spot, now - row.age_s)
             machine.listed, machine.missing = True, 0
@@ -217,8 +217,8 @@
                     del self.machines[machine.name]
         for name in [n for n, at in self.returned.items() if now - at > 20 * self.settings.list_lag_s]:
             del self.returned[name]
-        self.mark([name for name, mark in self.marks.items()
-                   if mark == "gone" and name not in names and name not in self.occupied and name not in self.returned], None)
+        self.taint([name for name, taint in self.taints.items()
+                   if taint == "gone" and name not in names and name not in self.occupied and name not in self.returned], None)
         self.listed_once = True
 
     def on_occupancy(self, occupied):
@@ -238,7 +238,7 @@
         now = self.now()
         lost, ended, back = [], [], []
         for name, (heard, proven, deaf, ever) in silence.items():
-            mark = self.marks.get(name)
+            taint = self.taints.get(name)
             machine = self.machines.get(name)
             if machine is not None and heard > machine.seen and now - heard < self.settings.lease_s:
                 machine.seen = heard
@@ -246,62 +246,62 @@
             if machine is not None:
                 machine.deaf_since = (machine.deaf_since or now) if deaf else None
             quiet = now - heard
-            if mark is None and ((quiet > self.settings.lease_s * 0.6 + slack and name in self.occupied) or deaf):
+            if taint is None and ((quiet > self.settings.lease_s * 0.6 + slack and name in self.occupied) or deaf):
                 lost.append(name)
-            elif mark in ("lost", "drain") and proven and name in self.occupied:
+            elif taint in ("lost", "drain") and proven and name in self.occupied:
                 ended.append(name)
-            elif mark in ("lost", "ended") and ever and quiet < self.settings.report_s * 2 and not deaf:
+            elif taint in ("lost", "ended") and ever and quiet < self.settings.report_s * 2 and not deaf:
                 # Once broken: a new leader took its own birth for a sign of life of the machines behind a cut.
-                if mark == "lost" or name not in self.occupied:
+                if taint == "lost" or name not in self.occupied:
                     back.append(name)
-            elif mark in ("lost", "ended") and machine is None and name not in self.occupied and quiet > 6 * self.settings.lease_s:
+            elif taint in ("lost", "ended") and machine is None and name not in self.occupied and quiet > 6 * self.settings.lease_s:
                 back.append(name)
-        for names, mark, text in ((lost, "lost", "no node is in touch with %s; nothing more is placed there"),
+        for names, taint, text in ((lost, "lost", "no node is in touch with %s; nothing more is placed there"),
                                   (ended, "ended", "the leases of %s have run out; their tasks move"),
                                   (back, None, "%s may be used again")):
-            names = [name for name in names if name not in self.marking and name not in self.wishes]
+            names = [name for name in names if name not in self.tainting and name not in self.wishes]
             if names:
                 log.info(text, some(names))
-                self.mark(names, mark)
+                self.taint(names, taint)
 
-    def mark(self, names, mark):
-        """Wishes for a mark. A machine has one wish at a time, so each is for the mark that it was seen with."""
-        self.wishes.update((name, mark) for name in names if name not in self.marking and (mark == "gone" or name not in self.wishes))
-        self.write_marks()
+    def taint(self, names, taint):
+        """Wishes for a taint. A machine has one wish at a time, so each is for the taint that it was seen with."""
+        self.wishes.update((name, taint) for name in names if name not in self.tainting and (taint == "gone" or name not in self.wishes))
+        self.write_taints()
 
-    def write_marks(self):
-        """One transaction at a time, of all machines that anything is wished for: keys hold many marks."""
-        if self.marking or not self.wishes or not self.leading:
+    def write_taints(self):
+        """One transaction at a time, of all machines that anything is wished for: keys hold many taints."""
+        if self.tainting or not self.wishes or not self.leading:
             return
-        values, self.marking = self.marks.with_changes(self.wishes, self.settings.value_bytes, self.settings.txn_ops)
-        if not self.marking:
+        values, self.tainting = self.taints.with_changes(self.wishes, self.settings.value_bytes, self.settings.txn_ops)
+        if not self.tainting:
             return
-        for name in self.marking:
+        for name in self.tainting:
             del self.wishes[name]
         conditions = [(LIVE + "lead", self.lead[2])] + [(LIVE + key, stamp) for key, (stamp, _) in values.items()]
-        writes = [state_wire.put(LIVE + key, marks) for key, (_, marks) in values.items()]
-        self.ledger.tell("commit", DECISIONS, conditions, writes, self.then("marked", self.lead))
+        writes = [state_wire.put(LIVE + key, taints) for key, (_, taints) in values.items()]
+        self.store.tell("commit", DECISIONS, conditions, writes, self.then("tainted", self.lead))
 
-    def on_marked(self, lead, status, revision, failed):
-        self.ledger.tell("sync", self.then("mark_seen", lead, status))
+    def on_tainted(self, lead, status, revision, failed):
+        self.store.tell("sync", self.then("taint_seen", lead, status))
 
-    def on_mark_seen(self, lead, status, revision):
+    def on_taint_seen(self, lead, status, revision):
         if self.lead != lead:
             return
         if revision is None:
-            # The copy may not show what was written; the next marks are worked out from it.
-            self.after(0.5, "marked", lead, status, None, None)
+            # The copy may not show what was written; the next taints are worked out from it.
+            self.after(0.5, "tainted", lead, status, None, None)
             return
-        marking, self.marking = self.marking, {}
+        tainting, self.tainting = self.tainting, {}
         if status != 200:
             # Others are wished for again as long as they are due; this one is the proof that came once.
-            self.wishes.update((name, mark) for name, mark in marking.items() if mark == "gone" and self.marks.get(name) != "gone")
-        self.write_marks()
+            self.wishes.update((name, taint) for name, taint in tainting.items() if taint == "gone" and self.taints.get(name) != "gone")
+        self.write_taints()
 
     # --- the round: draw, rent, return
 
     def counted(self, machine):
-        return machine.state != "failed" and self.marks.get(machine.name) is None and machine.name not in self.returning
+        return machine.state != "failed" and self.taints.get(machine.name) is None and machine.name not in self.returning
 
     def round(self, now, total):
         young = now - self.since < 300
@@ -353,7 +353,7 @@
         chosen += sorted((m for m in idle if m.spot), key=lambda m: m.idle_since)[:max(0, surplus_spot - len(chosen))]
         if chosen:
             log.info("returning %s: idle for %g s above the target", some([m.name for m in chosen]), hold)
-            self.mark([m.name for m in chosen], "drain")
+            self.taint([m.name for m in chosen], "drain")
 
     def serve_zones(self, now, name, machine_type):
         """Rents for tasks that can run in one zone only, where that zone has no room for them.
@@ -387,9 +387,9 @@
         short = self.targets.get((name, True), 0) - spot
         surplus = ordinary - self.targets.get((name, False), 0) - max(0, short)
         idle = sum(m.idle_since is not None and not m.spot for m in there)
-        self.keeper.tell("replicas", self.then("replicas"))
+        self.job_manager.tell("replicas", self.then("replicas"))
         if surplus > idle and self.moves >= 1 and self.types[name].boot_s < self.now() - self.since:
-            self.keeper.tell("thin_machine", name, int(self.moves), self.then("thin"))
+            self.job_manager.tell("thin_machine", name, int(self.moves), self.then("thin"))
 
     def on_replicas(self, total):
         """Grants moves for one round."""
@@ -401,7 +401,7 @@
         if self.leading and machine in self.machines:
             self.moves -= count
             log.info("draining %s: above the target, and its %d replicas find room elsewhere", machine, count)
-            self.mark([machine], "drain")
+            self.taint([machine], "drain")
 
     def rent(self, now, machine_type, spot, count, only=None):
         """Asks for machines in the zone that has fewest, or in that one only; False when every zone refused lately."""
@@ -456,28 +456,28 @@
         """Returns drained machines, boots that failed, and machines that stopped or stay silent."""
         ready, drain = [], []
         for machine in self.machines.values():
-            mark = self.marks.get(machine.name)
-            if machine.name in self.returning or mark == "gone":
+            taint = self.taints.get(machine.name)
+            if machine.name in self.returning or taint == "gone":
                 continue
             boot = (self.types[machine.type].boot_s if machine.type in self.types else 0) or self.operators.boot_guess_s
-            if mark == "drain":
+            if taint == "drain":
                 if machine.name not in self.occupied:
                     ready.append(machine.name)
-            elif mark == "ended":
+            elif taint == "ended":
                 # A new leader has heard of nobody yet; a machine behind a cut may well come back.
                 if now - max(machine.seen, self.since) > 4 * self.settings.lease_s or self.long_deaf(machine, now):
                     ready.append(machine.name)
-            elif mark == "lost" and self.long_deaf(machine, now):
+            elif taint == "lost" and self.long_deaf(machine, now):
                 drain.append(machine.name)
             elif machine.state == "failed":
                 # It has stopped: nothing runs there, and the cloud's 200 will prove it.
                 ready.append(machine.name)
-            elif not machine.seen and now - max(machine.asked, self.since) > 3 * boot and mark is None:
+            elif not machine.seen and now - max(machine.asked, self.since) > 3 * boot and taint is None:
                 log.info("%s never came up; returning it", machine.name)
                 drain.append(machine.name)
-            elif machine.seen and now - machine.seen > 6 * self.settings.lease_s and mark is None:
+            elif machine.seen and now - machine.seen > 6 * self.settings.lease_s and taint is None:
                 drain.append(machine.name)
-        self.mark(drain, "drain")
+        self.taint(drain, "drain")
         ready = ready[:MOST_RETURNED]
         if ready:
             self.returning.update(ready)
@@ -496,4 +496,4 @@
         for name in names:
             self.machines.pop(name, None)
             self.returned[name] = now
-        self.mark(names, "gone")
+        self.taint(names, "gone")
--- a/emberglade/frontdoor/__init__.py
+++ b/emberglade/frontdoor/__init__.py
@@ -1,5 +1,5 @@
-"""The front door: submissions, polls, aborts, readiness; strict validation."""
+"""The front api: submissions, polls, aborts, readiness; strict validation."""
 
-from .door import Door
+from .api import Api
 
-__all__ = ["Door"]
+__all__ = ["Api"]
--- a/emberglade/frontdoor/door.py
+++ b/emberglade/frontdoor/api.py
@@ -12,7 +12,7 @@
 from ..placement import fits_some_type, read_types
 from ..state import LIVE, OVER, Follower
 from ..state import wire as state_wire
-from ..state.ledger import DECISIONS, SUBMISSIONS
+from ..state.store import DECISIONS, SUBMISSIONS
 from . import wire
 
 log = logging.getLogger("emberglade.frontdoor")
@@ -21,10 +21,10 @@
 RETRY_S = 1
 
 
-class Door(Follower):
-    def __init__(self, settings, ledger, desk):
+class Api(Follower):
+    def __init__(self, settings, store, agents):
         self.settings = settings
-        self.ledger, self.desk = ledger, desk
+        self.store, self.agents = store, agents
         self.size = part_size(settings.value_bytes)
         self.types = {}
         self.live = {}  # job -> (its key's value, stamp, {part: value}) as committed
@@ -67,12 +67,12 @@
             except ValueError:
                 reply(400, wire.error("the report is not JSON"))
                 return
-            self.desk.hand("beat", data, reply)
+            self.agents.hand("beat", data, reply)
         elif path == "/ready":
             if method != "GET":
                 reply(405, wire.error("GET is needed"))
                 return
-            self.desk.hand("ready", lambda ready: reply(200, {"ready": True}) if ready else
+            self.agents.hand("ready", lambda ready: reply(200, {"ready": True}) if ready else
                            reply(503, wire.error("not in step with the state service yet"), RETRY_S))
         elif path == "/submissions":
             if method != "POST":
@@ -133,7 +133,7 @@
             return
         self.open_submissions += 1
         job = Job(spec, self.size)
-        self.ledger.tell("commit", SUBMISSIONS, [(LIVE + job_key(spec.id), 0), (OVER + over_key(spec.id), 0)],
+        self.store.tell("commit", SUBMISSIONS, [(LIVE + job_key(spec.id), 0), (OVER + over_key(spec.id), 0)],
                          [state_wire.put(LIVE + job_key(spec.id), job.encode())], self.then("submitted", spec, reply))
 
     def never(self, spec):
@@ -194,18 +194,18 @@
             reply(None, None)
             return
         self.open_questions += 1
-        self.ledger.tell("sync", self.then("look_synced", job_id, reply))
+        self.store.tell("sync", self.then("look_synced", job_id, reply))
 
     def on_look_synced(self, job_id, reply, revision):
         self.open_questions -= 1
         if revision is None:
             reply(None, None)
             return
-        # From what is committed, not from the keeper, whose view runs ahead while it writes.
+        # From what is committed, not from the job_manager, whose view runs ahead while it writes.
         row = self.live.get(job_id)
         if row is None:
             # Not live at the sync: over, or never accepted. Final states are never removed.
-            self.ledger.tell("read", DECISIONS, OVER + over_key(job_id), self.then("look_read", job_id, reply))
+            self.store.tell("read", DECISIONS, OVER + over_key(job_id), self.then("look_read", job_id, reply))
             return
         data, _, further = row
         parts = [data.get("p", {}), *further.values()]
@@ -255,7 +255,7 @@
         elif job_id in self.final:
             self.tell_final(job_id, reply)
         else:
-            self.ledger.tell("sync", self.then("abort_synced", job_id, reply, tries))
+            self.store.tell("sync", self.then("abort_synced", job_id, reply, tries))
 
     def on_abort_synced(self, job_id, reply, tries, revision):
         if revision is None:
@@ -267,10 +267,10 @@
             return
         data, stamp, _ = row
         if data.get("w"):
-            self.desk.tell("confirm_withdrawal", job_id)
+            self.agents.tell("confirm_withdrawal", job_id)
             reply(200, wire.state(job_id, "withdrawn"))
             return
-        self.ledger.tell("commit", DECISIONS, [(LIVE + job_key(job_id), stamp)],
+        self.store.tell("commit", DECISIONS, [(LIVE + job_key(job_id), stamp)],
                          [state_wire.put(LIVE + job_key(job_id), {**data, "w": 1})],
                          self.then("aborted", job_id, reply, tries))
 
@@ -279,7 +279,7 @@
             log.info("%s withdrawn by its user", job_id)
             # Nothing is told that this controller's own copy does not show: others conclude from its revision
             # that they miss nothing, and its halts go to every machine that the copy names.
-            self.ledger.tell("sync", self.then("abort_synced", job_id, reply, tries))
+            self.store.tell("sync", self.then("abort_synced", job_id, reply, tries))
         elif status == 409 and tries < 8:
             # Its holder wrote in between.
             self.on_abort(job_id, reply, tries + 1)
--- a/emberglade/jobs/__init__.py
+++ b/emberglade/jobs/__init__.py
@@ -1,6 +1,6 @@
 """Jobs: their records, the life of their tasks, completion and cancellation."""
 
-from .keeper import Keeper
+from .manager import JobManager
 from .record import Job, job_key, over_key
 
-__all__ = ["Job", "Keeper", "job_key", "over_key"]
+__all__ = ["Job", "JobManager", "job_key", "over_key"]
--- a/emberglade/jobs/keeper.py
+++ b/emberglade/jobs/manager.py
@@ -1,4 +1,4 @@
-"""The keeper of the jobs: every node's view of all live jobs, and the decisions on those it holds.
+"""The job_manager of the jobs: every node's view of all live jobs, and the decisions on those it holds.
 
 What is decided here is only wished for until the commit has succeeded; nothing leaves for a
 worker from here. Workers are commanded by the agents slice, out of the committed copy.
@@ -8,13 +8,12 @@
 import math
 
 from .. import placement
-from ..fleet.marks import Marks
+from ..fleet.taints import Taints
 from ..membership import shard_count
 from ..state import LIVE, OVER, Follower
 from ..state import wire as state_wire
-from ..state.ledger import DECISIONS
+from ..state.store import DECISIONS
 from ..transport import NO_ANSWER
-from .placer import Placer
 from .record import (
     KEEP,
     SAVE,
@@ -28,20 +27,21 @@
     shard_of,
     task_name,
 )
+from .scheduler import Scheduler
 
 log = logging.getLogger("emberglade.jobs")
 
 
-class Keeper(Placer, Follower):
-    def __init__(self, settings, ledger):
+class JobManager(Scheduler, Follower):
+    def __init__(self, settings, store):
         super().__init__(settings)
-        self.settings, self.ledger = settings, ledger
+        self.settings, self.store = settings, store
         self.size = part_size(settings.value_bytes)
         self.shards = shard_count(settings)
         self.jobs = {}
         self.loose_parts = {}  # parts seen before their job: {job: {number: (data, stamp)}}
         self.holders = {}  # shard -> (node, incarnation, stamp)
-        self.marks = Marks()
+        self.taints = Taints()
         self.types = {}
         self.inventory = {}  # machine -> placement.Machine
         self.dirty = {}  # key -> when it should be written
@@ -54,8 +54,8 @@
         self.written, self.written_at = 0.0, 0.0
         self.errors = {}  # job -> machines on which a task of it ended in error
         self.loaded = False
-        self.desk = None  # set when the node is put together
-        self.fresh_marks = set()  # machines whose marks came with the change at hand
+        self.agents = None  # set when the node is put together
+        self.fresh_taints = set()  # machines whose taints came with the change at hand
         self.remains = {}  # parts of jobs that are over: {key: stamp}
         self.loose_since = {}
 
@@ -71,15 +71,15 @@
             seen = {key for key, data, _ in events if data is not None}
             for job_id in [j for j in self.jobs if job_key(j) not in seen]:
                 self.drop(job_id)
-            self.marks.forget()
+            self.taints.forget()
         for event in events:
             if event[0] in self.deferred:
                 self.deferred[event[0]].append(event)
             else:
                 self.absorb(*event)
-        if self.fresh_marks:
-            machines, self.fresh_marks = self.fresh_marks, set()
-            self.obey_marks(machines)
+        if self.fresh_taints:
+            machines, self.fresh_taints = self.fresh_taints, set()
+            self.obey_taints(machines)
         self.soon_place()
 
     def absorb(self, key, data, stamp):
@@ -124,7 +124,7 @@
             else:
                 self.holders[int(key[2:])] = (data.get("node"), data.get("inc"), stamp)
         elif key.startswith("m/"):
-            self.fresh_marks.update(self.marks.apply(key, data, stamp, self.now()))
+            self.fresh_taints.update(self.taints.apply(key, data, stamp, self.now()))
         elif key == "catalog" and data is not None:
             self.types = placement.read_types(data)
 
@@ -235,19 +235,19 @@
             part.tried[task] = attempt
             self.touch(job, task)
 
-    def obey_marks(self, machines):
+    def obey_taints(self, machines):
         """Moves own tasks off machines whose leases are proven over, and stops them where it drains."""
         moved = {}
         for machine in machines:
-            mark = self.marks.get(machine)
+            taint = self.taints.get(machine)
             for (_, task), (job, bound) in list(self.room.on.get(machine, {}).items()):
                 if not self.mine(job):
                     continue
-                if mark in ("ended", "gone"):
+                if taint in ("ended", "gone"):
                     moved.setdefault(machine, []).append(task_name(job.id, task))
                     self.release(job, task, bound.attempt, machine)
                     self.settle(job)
-                elif mark == "drain" and bound.stop == KEEP:
+                elif taint == "drain" and bound.stop == KEEP:
                     self.stop(job, task, SAVE, "its machine is drained")
         if moved:
             log.info("%d tasks of %d machines move, whose leases are over: %s", sum(map(len, moved.values())), len(moved),
@@ -276,7 +276,7 @@
         self.write_soon(part_key(job.id, number) if number else job_key(job.id), soon)
 
     def settle(self, job):
-        """Marks a job for its end when nothing more is to come of it."""
+        """Taints a job for its end when nothing more is to come of it."""
         if job.over() and self.mine(job):
             self.write_soon(job_key(job.id), True)
 
@@ -348,7 +348,7 @@
         self.flight = keys
         self.flight_shards = {int(key.rpartition("/")[2]) for key in conditions if key.startswith(LIVE + "s/")}
         self.deferred = {key: [] for key in keys}
-        self.ledger.tell("commit", DECISIONS, list(conditions.items()), writes, self.then("flushed", ends))
+        self.store.tell("commit", DECISIONS, list(conditions.items()), writes, self.then("flushed", ends))
 
     def turn_to_write(self, key):
         """When a third of the machines is lost, nearly every job has to be written: higher ranks go a
@@ -369,7 +369,7 @@
                     self.drop(job_id)
                     self.remains.update((part_key(job_id, number), part.stamp) for number, part in job.parts.items() if number)
             # Others' starts follow from the copy; it is asked for at once.
-            self.ledger.tell("sync", lambda revision: None)
+            self.store.tell("sync", lambda revision: None)
             self.absorb_deferred(revision)
         elif status in (503, 429):
             # Not executed: the same wish is written again a little later, in smaller commits if
@@ -386,7 +386,7 @@
             log.info("a commit of %d keys got %s (%s); they are read again", len(self.flight),
                      "no answer" if status == NO_ANSWER else status, failed)
             if status == 409:
-                self.ledger.tell("sync", self.then("resync"))
+                self.store.tell("sync", self.then("resync"))
             else:
                 self.on_fence_flight()
             return
@@ -415,16 +415,16 @@
         epochs = {(shard, holder[2]) for shard, holder in self.holders.items()
                   if shard in self.flight_shards and holder[:2] == (self.settings.node, self.incarnation)}
         if not epochs:
-            self.ledger.tell("sync", self.then("resync"))
+            self.store.tell("sync", self.then("resync"))
             return
-        self.ledger.tell("commit", DECISIONS, [(f"{LIVE}s/{shard}", stamp) for shard, stamp in sorted(epochs)],
+        self.store.tell("commit", DECISIONS, [(f"{LIVE}s/{shard}", stamp) for shard, stamp in sorted(epochs)],
                          [state_wire.put(f"{LIVE}s/{shard}", {"node": self.settings.node, "inc": self.incarnation})
                           for shard, _ in sorted(epochs)], self.then("fenced_flight"))
 
     def on_fenced_flight(self, status, revision, failed):
         if status in (200, 409):
             # With 409 the epochs are others' already, or ours from a try that got no answer.
-            self.ledger.tell("sync", self.then("resync"))
+            self.store.tell("sync", self.then("resync"))
         else:
             self.after(self.settings.report_s / 3, "fence_flight")
 
@@ -432,10 +432,10 @@
         if revision is None:
             self.after(0.5, "retry_sync")
             return
-        self.ledger.tell("look", list(self.flight), self.then("looked"))
+        self.store.tell("look", list(self.flight), self.then("looked"))
 
     def on_retry_sync(self):
-        self.ledger.tell("sync", self.then("resync"))
+        self.store.tell("sync", self.then("resync"))
 
     def on_looked(self, found):
         keys, self.flight = self.flight, None
@@ -459,7 +459,7 @@
         if some:
             # A live job's own key is always there, so without it nobody needs its parts.
             owners = {job_key(key.split("/")[1]) for key in some}
-            self.ledger.tell("commit", DECISIONS, [(LIVE + key, stamp) for key, stamp in some.items()] + [(LIVE + key, 0) for key in owners],
+            self.store.tell("commit", DECISIONS, [(LIVE + key, stamp) for key, stamp in some.items()] + [(LIVE + key, 0) for key in owners],
                              [state_wire.remove(LIVE + key) for key in some], self.then("remains_dropped", some))
 
     def on_remains_dropped(self, some, status, revision, failed):
@@ -483,7 +483,7 @@
         self.after(0.5, "tick")
         for job in list(self.jobs.values()):
             self.settle(job)
-        self.obey_marks([machine for machine, mark in self.marks.items() if mark in ("ended", "gone") and machine in self.room.on])
+        self.obey_taints([machine for machine, taint in self.taints.items() if taint in ("ended", "gone") and machine in self.room.on])
         self.sweep()
         if self.flight is None:
             self.drop_remains()
@@ -497,7 +497,7 @@
         own = [job for job in self.jobs.values() if self.mine(job) and not job.withdrawn]
         reply(placement.demand(own, placement.headroom(own, self.settings.objectives, self.types, self.system.wall()),
                                self.types, self.settings.teams),
-              placement.zone_shortage(own, self.room, self.open_machines.difference(self.marks.of), self.types))
+              placement.zone_shortage(own, self.room, self.open_machines.difference(self.taints.of), self.types))
 
     def on_occupied(self, reply):
         """`reply(machines that any bound task names)`."""
--- a/emberglade/jobs/placer.py
+++ b/emberglade/jobs/scheduler.py
@@ -1,4 +1,4 @@
-"""The keeper's rounds of placing: what runs where, and what is stopped to make room."""
+"""The job_manager's rounds of placing: what runs where, and what is stopped to make room."""
 
 import logging
 import math
@@ -9,8 +9,8 @@
 log = logging.getLogger("emberglade.jobs")
 
 
-class Placer:
-    """The part of the keeper that places; a round is played on its room and leaves only bindings."""
+class Scheduler:
+    """The part of the job_manager that places; a round is played on its room and leaves only bindings."""
 
     place_due = False
     placed_at = preempted_at = float("-inf")
@@ -39,7 +39,7 @@
         waiting = [job for job in self.jobs.values() if not job.withdrawn and job.waiting_count()]
         if not any(self.mine(job) for job in waiting):
             return
-        usable = self.open_machines.difference(self.marks.of)
+        usable = self.open_machines.difference(self.taints.of)
         usable.difference_update([name for name, (until, _) in self.suspects.items() if until > now])
         turn = placement.Round(self.room, usable, self.images)
         try:
@@ -199,7 +199,7 @@
             self.stop(job, task, SAVE, reason)
         else:
             self.asked[(job.id, task, bound.attempt)] = now
-            self.desk.tell("ask_stop", job.id, task, bound.attempt, SAVE, reason)
+            self.agents.tell("ask_stop", job.id, task, bound.attempt, SAVE, reason)
 
     def on_thin_machine(self, type_name, most, reply):
         """`reply(machine, count)`: one that only holds up to `most` replicas, all of which would find
@@ -208,12 +208,12 @@
         rows = []
         for name, machine in self.inventory.items():
             on = self.room.on.get(name, {})
-            if (machine.type.name == type_name and not machine.spot and machine.open and name not in self.marks
+            if (machine.type.name == type_name and not machine.spot and machine.open and name not in self.taints
                     and 0 < len(on) <= most and all(job.spec.service and not bound.stop and not job.withdrawn
                                                     for job, bound in on.values())):
                 rows.append((len(on), name))
         usable = {name for name, machine in self.inventory.items()
-                  if machine.open and name not in self.marks and replicas.get(name)}
+                  if machine.open and name not in self.taints and replicas.get(name)}
         for count, name in sorted(rows)[:8]:
             turn = placement.Round(self.room, usable - {name}, self.images)
             fits = True
--- a/emberglade/membership/member.py
+++ b/emberglade/membership/member.py
@@ -11,7 +11,7 @@
 
 from ..state import LIVE, Follower
 from ..state import wire as state_wire
-from ..state.ledger import DECISIONS
+from ..state.store import DECISIONS
 
 log = logging.getLogger("emberglade.membership")
 
@@ -24,8 +24,8 @@
 
 
 class Member(Follower):
-    def __init__(self, settings, ledger, listeners):
-        self.settings, self.ledger = settings, ledger
+    def __init__(self, settings, store, listeners):
+        self.settings, self.store = settings, store
         self.listeners = listeners  # actors told `identity(incarnation)`
         self.lease = None
         # A crashed node is taken over within a third of a worker's lease; mostly it is back sooner.
@@ -49,7 +49,7 @@
     # --- the lease and the node's key
 
     def on_grant(self):
-        self.ledger.tell("grant", int(self.life_s * 1000), self.then("granted"))
+        self.store.tell("grant", int(self.life_s * 1000), self.then("granted"))
 
     def on_granted(self, lease):
         if not isinstance(lease, int):
@@ -68,7 +68,7 @@
     def on_touch(self):
         self.after(self.life_s / 3, "touch")
         if self.lease is not None:
-            self.ledger.tell("touch", self.lease, self.then("touched", self.lease))
+            self.store.tell("touch", self.lease, self.then("touched", self.lease))
 
     def on_touched(self, lease, status):
         if status == 404 and lease == self.lease:
@@ -110,7 +110,7 @@
         return [state_wire.put(f"{LIVE}r/{self.settings.node}/{n}", data, self.lease) for n, data in chunk]
 
     def write_parts(self, writes):
-        self.ledger.tell("commit", DECISIONS, [], writes, self.then("key_written", self.lease))
+        self.store.tell("commit", DECISIONS, [], writes, self.then("key_written", self.lease))
 
     def on_key_written(self, lease, status, revision, failed):
         if status == 200 and self.parts and lease == self.lease and not self.key_dirty:
@@ -188,17 +188,17 @@
                 conditions = [(f"{LIVE}s/{k}", self.shards.get(k, (None, None, 0))[2]) for k in take]
                 writes = [state_wire.put(f"{LIVE}s/{k}", {"node": me, "inc": self.incarnation}) for k in take]
                 log.info("taking shards %s", take)
-                self.ledger.tell("commit", DECISIONS, conditions, writes, self.then("claimed"))
+                self.store.tell("commit", DECISIONS, conditions, writes, self.then("claimed"))
         # A node that is back at once finds the lead of its own former process, which is no more.
         stale = self.lead is not None and self.lead[0] == me and self.lead[1] != self.incarnation
         if (self.lead is None or stale) and not self.busy_lead:
             self.busy_lead = True
-            self.ledger.tell("commit", DECISIONS, [(LIVE + "lead", self.lead[2] if stale else 0)],
+            self.store.tell("commit", DECISIONS, [(LIVE + "lead", self.lead[2] if stale else 0)],
                              [state_wire.put(LIVE + "lead", {"node": me, "inc": self.incarnation}, self.lease)],
                              self.then("led", self.lease))
 
     def on_claimed(self, status, revision, failed):
-        self.ledger.tell("sync", self.then("claim_seen"))
+        self.store.tell("sync", self.then("claim_seen"))
 
     def on_claim_seen(self, revision):
         self.busy_shards = False
@@ -210,7 +210,7 @@
             log.info("leading from revision %s", revision)
         else:
             self.lost_lease(lease, status, failed)
-        self.ledger.tell("sync", self.then("lead_seen"))
+        self.store.tell("sync", self.then("lead_seen"))
 
     def on_lead_seen(self, revision):
         self.busy_lead = False
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -9,12 +9,12 @@
 import orjson
 
 from .actors import ThreadSystem
-from .agents import Desk, read_facts, read_question, read_withdrawal
-from .fleet import Steward
-from .frontdoor import Door
-from .jobs import Keeper
+from .agents import AgentManager, read_facts, read_question, read_withdrawal
+from .fleet import Autoscaler
+from .frontdoor import Api
+from .jobs import JobManager
 from .membership import Member
-from .state import Ledger, read_since
+from .state import Store, read_since
 from .transport import Link, Pool, Server
 
 log = logging.getLogger("emberglade")
@@ -23,16 +23,16 @@
 
 @dataclass
 class Node:
-    ledger: Ledger
-    keeper: Keeper
+    store: Store
+    job_manager: JobManager
     member: Member
-    desk: Desk
-    steward: Steward
-    door: Door
+    agents: AgentManager
+    autoscaler: Autoscaler
+    api: Api
 
     def actors(self):
-        return [(self.ledger, "state"), (self.keeper, "jobs"), (self.member, "membership"), (self.desk, "agents"),
-                (self.steward, "fleet"), (self.door, "frontdoor")]
+        return [(self.store, "state"), (self.job_manager, "jobs"), (self.member, "membership"), (self.agents, "agents"),
+                (self.autoscaler, "fleet"), (self.api, "frontdoor")]
 
     def peer_route(self, method, path, body, reply):
         try:
@@ -41,15 +41,15 @@
             reply(400, {"error": "not JSON"})
             return
         if path == "/peer/heard" and method == "POST":
-            self.desk.hand("heard", read_question(data), reply)
+            self.agents.hand("heard", read_question(data), reply)
         elif path == "/peer/facts" and method == "POST" and isinstance(data, list):
             for fact in read_facts(data):
-                self.keeper.tell(*fact)
+                self.job_manager.tell(*fact)
             reply(200, {})
         elif path == "/peer/changes" and method == "POST" and read_since(data) is not None:
-            self.ledger.hand("changes_for_peer", read_since(data), reply)
+            self.store.hand("changes_for_peer", read_since(data), reply)
         elif path == "/peer/withdrawn" and method == "POST" and read_withdrawal(data) is not None:
-            self.desk.hand("hear_withdrawal", *read_withdrawal(data))
+            self.agents.hand("hear_withdrawal", *read_withdrawal(data))
             reply(200, {})
         else:
             reply(404, {"error": "no such path"})
@@ -57,16 +57,16 @@
 
 def assemble(settings, operators, state_link, cloud_link, peer_links, workers):
     """The actors of one node, not running yet."""
-    ledger = Ledger(settings, state_link)
-    keeper = Keeper(settings, ledger)
-    listeners = [keeper]
-    member = Member(settings, ledger, listeners)
-    desk = Desk(settings, ledger, keeper, member, peer_links, workers)
-    keeper.desk = desk
-    steward = Steward(settings, operators, ledger, keeper, desk, cloud_link)
-    door = Door(settings, ledger, desk)
-    listeners += [desk, steward]
-    return Node(ledger, keeper, member, desk, steward, door)
+    store = Store(settings, state_link)
+    job_manager = JobManager(settings, store)
+    listeners = [job_manager]
+    member = Member(settings, store, listeners)
+    agents = AgentManager(settings, store, job_manager, member, peer_links, workers)
+    job_manager.agents = agents
+    autoscaler = Autoscaler(settings, operators, store, job_manager, agents, cloud_link)
+    api = Api(settings, store, agents)
+    listeners += [agents, autoscaler]
+    return Node(store, job_manager, member, agents, autoscaler, api)
 
 
 def tell_accounts(system, interval=60.0):
@@ -115,7 +115,7 @@
         {peer.name: Link(peer.address, 2, "peer-" + peer.name, 64) for peer in settings.peers},
         Pool(limits.callers, limits.calls, "workers"))
     idle_s = 2 * settings.lease_s
-    front = Server(settings.front, node.door.route, patience + 0.5, idle_s, limits.front, is_users, limits.users)
+    front = Server(settings.front, node.api.route, patience + 0.5, idle_s, limits.front, is_users, limits.users)
     internal = Server(settings.internal, node.peer_route, patience, idle_s, limits.internal)
     for actor, name in node.actors():
         system.spawn(actor, name)
--- a/emberglade/state/follower.py
+++ b/emberglade/state/follower.py
@@ -4,13 +4,13 @@
 
 
 class Follower(Actor):
-    """Told `changed(events, revision, whole)` by the ledger; subclasses set `ledger`."""
+    """Told `changed(events, revision, whole)` by the store; subclasses set `store`."""
 
     incarnation = None
     hears_contact = False  # whether it is told of every sync
 
     def on_begin(self):
-        self.ledger.tell("subscribe", self)
+        self.store.tell("subscribe", self)
 
     def on_identity(self, incarnation):
         """The membership has this process's incarnation."""
--- a/emberglade/state/ledger.py
+++ b/emberglade/state/store.py
@@ -11,7 +11,7 @@
 from ..actors import Actor
 from ..transport import NO_ANSWER
 from . import wire
-from .budget import Budget
+from .token_bucket import TokenBucket
 
 log = logging.getLogger("emberglade.state")
 
@@ -21,7 +21,7 @@
 REPORTS, DECISIONS, SUBMISSIONS = 0, 1, 2  # ranks of work
 
 
-class Ledger(Actor):
+class Store(Actor):
     def __init__(self, settings, link):
         self.settings = settings
         self.link = link
@@ -37,8 +37,8 @@
         self.queue = (deque(), deque(), deque())
         self.flying = 0
         self.pause_until = 0.0
-        self.requests = Budget(settings.state_rps, settings.size, settings.state_rps / settings.size)
-        self.writes = Budget(settings.state_write_rps, settings.size, settings.state_write_rps / settings.size)
+        self.requests = TokenBucket(settings.state_rps, settings.size, settings.state_rps / settings.size)
+        self.writes = TokenBucket(settings.state_write_rps, settings.size, settings.state_write_rps / settings.size)
         # Syncs take at most half of the even share, however many ask; commits have the rest.
         self.sync_gap = 2.0 * settings.size / settings.state_rps
         # While nobody asks, others' changes are looked for less often: most of a quiet day is this.
--- a/emberglade/state/budget.py
+++ b/emberglade/state/token_bucket.py
@@ -4,7 +4,7 @@
 CAUTION = 0.8  # of the whole service's rate; the rest is the others' least
 
 
-class Budget:
+class TokenBucket:
     def __init__(self, rate, nodes, burst):
         self.share, self.most = rate / nodes, max(rate / nodes, rate * CAUTION)
         self.rate = self.share
--- a/tests/breakages.py
+++ b/tests/breakages.py
@@ -3,18 +3,18 @@
 Every function patches the service through pytest's monkeypatch.
 """
 
-from emberglade.agents.desk import Desk
-from emberglade.agents.sightings import Sightings
-from emberglade.frontdoor.door import Door
-from emberglade.jobs.keeper import Keeper
+from emberglade.agents.failure_detector import FailureDetector
+from emberglade.agents.manager import AgentManager
+from emberglade.frontdoor.api import Api
+from emberglade.jobs.manager import JobManager
 from emberglade.jobs.record import Job
 from emberglade.placement.room import Room
-from emberglade.state.ledger import LIVE, Ledger
+from emberglade.state.store import LIVE, Store
 
 
 def moves_without_proof(patch):
     """A lost machine's tasks move at once, without waiting for any lease."""
-    original = Keeper.on_tick
+    original = JobManager.on_tick
 
     def on_tick(self):
         for job in list(self.jobs.values()):
@@ -24,7 +24,7 @@
                     if machine is not None and not machine.open:
                         self.release(job, task, bound.attempt, bound.machine)
         original(self)
-    patch.setattr(Keeper, "on_tick", on_tick)
+    patch.setattr(JobManager, "on_tick", on_tick)
 
 
 def no_limits(patch):
@@ -36,15 +36,15 @@
 
 
 def deaf_to_cancellations(patch):
-    patch.setattr(Desk, "see_withdrawal", lambda self, job_id, entry, revision: None)
+    patch.setattr(AgentManager, "see_withdrawal", lambda self, job_id, entry, revision: None)
 
 
 def forgets_the_final_state(patch):
-    patch.setattr(Door, "on_look_read", lambda self, job_id, reply, status, data, stamp: reply(False, None))
+    patch.setattr(Api, "on_look_read", lambda self, job_id, reply, status, data, stamp: reply(False, None))
 
 
 def answers_for_any_id(patch):
-    patch.setattr(Door, "on_polled", lambda self, reply, known, answer: reply(200, answer or {"id": "x", "glow": "pending"}))
+    patch.setattr(Api, "on_polled", lambda self, reply, known, answer: reply(200, answer or {"id": "x", "glow": "pending"}))
 
 
 def done_too_early(patch):
@@ -53,49 +53,49 @@
 
 
 def withdrawn_becomes_done(patch):
-    patch.setattr(Door, "on_look_read", lambda self, job_id, reply, status, data, stamp:
+    patch.setattr(Api, "on_look_read", lambda self, job_id, reply, status, data, stamp:
                   reply(True, {"id": job_id, "glow": "done" if data["glow"] == "withdrawn" else "withdrawn"}))
 
 
 def starts_nothing(patch):
-    patch.setattr(Keeper, "on_place", lambda self: None)
+    patch.setattr(JobManager, "on_place", lambda self: None)
 
 
 def never_starving(patch):
     """What has waited for long gets no turn of its own."""
-    patch.setattr(Keeper, "starves", lambda self, job, wall: False)
+    patch.setattr(JobManager, "starves", lambda self, job, wall: False)
 
 
 def deaf_to_polls(patch):
     """Questions about one job are never answered."""
-    original = Door.look_up
+    original = Api.look_up
 
     def look_up(self, job_id, reply):
         if job_id != "job-1":
             original(self, job_id, reply)
-    patch.setattr(Door, "look_up", look_up)
+    patch.setattr(Api, "look_up", look_up)
 
 
 def copies_are_signs_of_life(patch):
     """A machine whose copies still come is never proven lost."""
-    original = Desk.on_beat
+    original = AgentManager.on_beat
 
     def on_beat(self, data, reply):
         if isinstance(data, dict):
-            self.sightings.view.pop(data.get("hearth"), None)
+            self.detector.view.pop(data.get("hearth"), None)
             self.known.pop(data.get("hearth"), None)
         original(self, data, reply)
-    patch.setattr(Desk, "on_beat", on_beat)
+    patch.setattr(AgentManager, "on_beat", on_beat)
 
 
 def blind_to_the_deaf(patch):
     """A machine that does not hear us counts as a good one."""
-    patch.setattr(Desk, "listen", lambda self, known, report, sighting, now: None)
+    patch.setattr(AgentManager, "listen", lambda self, known, report, last_seen, now: None)
 
 
 def halts_wait_for_reports(patch):
     """A withdrawn task is halted only by the answer to its machine's report."""
-    patch.setattr(Desk, "press_halts", lambda self, job_id: None)
+    patch.setattr(AgentManager, "press_halts", lambda self, job_id: None)
 
 
 def silent_peers_know_nothing(patch):
@@ -103,17 +103,17 @@
     def level_since(self):
         now = max(said.got for said in self.told.values())
         return min((at for name, at in self.level.items() if now - self.told[name].got < self.settings.lease_s), default=now)
-    patch.setattr(Sightings, "level_since", level_since)
+    patch.setattr(FailureDetector, "level_since", level_since)
 
 
 def never_silent(patch):
     """A controller answers workers however long it has heard of nothing new."""
-    patch.setattr(Desk, "entitled", lambda self, now: self.revision >= 0)
+    patch.setattr(AgentManager, "entitled", lambda self, now: self.revision >= 0)
 
 
 def any_attempt(patch):
     """An exit counts for whichever attempt is bound now."""
-    original = Keeper.on_exited
+    original = JobManager.on_exited
 
     def on_exited(self, job_id, task, attempt, machine, why, saved):
         job = self.jobs.get(job_id)
@@ -121,32 +121,32 @@
         if bound is not None:
             attempt, machine = bound.attempt, bound.machine
         original(self, job_id, task, attempt, machine, why, saved)
-    patch.setattr(Keeper, "on_exited", on_exited)
+    patch.setattr(JobManager, "on_exited", on_exited)
 
 
 def unfenced_flights(patch):
     """A commit without an answer is taken for one that was not carried out."""
-    patch.setattr(Keeper, "on_fence_flight", lambda self: self.ledger.tell("sync", self.then("resync")))
+    patch.setattr(JobManager, "on_fence_flight", lambda self: self.store.tell("sync", self.then("resync")))
 
 
 def writes_without_conditions(patch):
     """Commits of jobs hang on nothing: not on the shard's epoch, nor on what the record was."""
-    original = Ledger.on_commit
+    original = Store.on_commit
 
     def on_commit(self, rank, conditions, writes, reply):
         original(self, rank, [c for c in conditions if not c[0].startswith((LIVE + "j/", LIVE + "s/", LIVE + "t/")) or not c[1]], writes, reply)
-    patch.setattr(Ledger, "on_commit", on_commit)
+    patch.setattr(Store, "on_commit", on_commit)
 
 
 def tells_unsynced(patch):
     """Users are told what the copy shows, however old it is."""
-    patch.setattr(Ledger, "on_sync", lambda self, reply: reply(self.revision if self.revision >= 0 else None))
+    patch.setattr(Store, "on_sync", lambda self, reply: reply(self.revision if self.revision >= 0 else None))
 
 
 def starts_unsynced(patch):
     """Answers start whatever the copy shows, however old it is."""
-    original = Desk.commands
-    patch.setattr(Desk, "commands", lambda self, known, synced: original(self, known, True))
+    original = AgentManager.commands
+    patch.setattr(AgentManager, "commands", lambda self, known, synced: original(self, known, True))
 
 
 def forgets_bound(patch):
@@ -165,12 +165,12 @@
 
 def proves_by_silence(patch):
     """A machine that the leader has not heard of is taken for one whose lease is over."""
-    patch.setattr(Sightings, "proven_over", lambda self, *_: True)
+    patch.setattr(FailureDetector, "proven_over", lambda self, *_: True)
 
 
 def tells_before_commit(patch):
     """A withdrawal is told before it is durable."""
-    original = Door.on_abort_synced
+    original = Api.on_abort_synced
 
     def on_abort_synced(self, job_id, reply, tries, revision):
         if self.live.get(job_id) is not None:
@@ -178,5 +178,5 @@
             self.after(5.0, "abort_late", job_id)
         else:
             original(self, job_id, reply, tries, revision)
-    patch.setattr(Door, "on_abort_synced", on_abort_synced)
-    patch.setattr(Door, "on_abort_late", lambda self, job_id: original(self, job_id, lambda *_: None, 0, self.ledger.revision), raising=False)
+    patch.setattr(Api, "on_abort_synced", on_abort_synced)
+    patch.setattr(Api, "on_abort_late", lambda self, job_id: original(self, job_id, lambda *_: None, 0, self.store.revision), raising=False)
--- a/tests/stand_ins/cluster.py
+++ b/tests/stand_ins/cluster.py
@@ -65,7 +65,7 @@
             def answer(*result):
                 if process.alive:
                     reply(*result)
-            (node.peer_route if path.startswith("/peer/") else node.door.route)(method, path, body, answer)
+            (node.peer_route if path.startswith("/peer/") else node.api.route)(method, path, body, answer)
         self.world.hosts[name] = handle
         self.processes[name], self.nodes[name] = process, node
 
