A machine rests at most four leases after errors, and so does a task of a job that fails everywhere

Doubling rests came to 32 leases (488 s), so that a task could wait beside free room for longer than the 90 s that the added rules allow.

--- a/emberglade/jobs/manager.py
+++ b/emberglade/jobs/manager.py
@@ -32,6 +32,11 @@
 log = logging.getLogger("emberglade.jobs")
 
 
+# Leases that a machine rests after errors, or a job that fails everywhere: nobody may wait beside free room for much
+# longer than a minute.
+MOST_REST = 4
+
+
 class JobManager(Scheduler, Follower):
     def __init__(self, settings, store):
         super().__init__(settings)
@@ -206,8 +211,8 @@
             broken_job = len(machines) >= 3
             if not broken_job:
                 _, count = self.suspects.get(machine, (0, 0))
-                self.suspects[machine] = (now + lease * 2 ** min(count, 5), count + 1)
-            job.hold[task] = now + (lease * min(len(machines), 8) if broken_job else 0)
+                self.suspects[machine] = (now + lease * min(2 ** count, MOST_REST), count + 1)
+            job.hold[task] = now + (lease * min(len(machines), MOST_REST) if broken_job else 0)
             log.info("%s ended in error on %s; %s", task_name(job.id, task), machine,
                      "the job fails everywhere and is slowed" if broken_job else "the machine rests")
         elif why in ("full", "busy"):
