--- a/emberglade/actors.py
+++ b/emberglade/actors.py
@@ -66,7 +66,16 @@
         self.wall = time.time
         self.busy = {}  # actor's name -> [seconds in its messages, messages]
 
-    def spawn(self, actor, name):
+    def spawn(self, actors):
+        """Begins all of these (actor, name). Each can be spoken to before any of them begins.
+
+        Once broken: a process that was back at once had its lease before the last actor had its mailbox, and
+        went on for ever with actors that had not been told who they are (actors/all_before_any.txt).
+        """
+        for thread in [self._prepare(actor, name) for actor, name in actors]:
+            thread.start()
+
+    def _prepare(self, actor, name):
         actor.system = self
         mailbox = queue.SimpleQueue()
         actor._post = lambda delay, message, args: mailbox.put(
@@ -84,7 +93,7 @@
             finally:
                 turn.release()
         actor._hand = hand
-        threading.Thread(target=self._run, args=(actor, mailbox, turn, account), name=name, daemon=True).start()
+        return threading.Thread(target=self._run, args=(actor, mailbox, turn, account), name=name, daemon=True)
 
     def take_account(self):
         """{actor: (seconds in its messages, messages)} since the last call."""
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -117,8 +117,7 @@
     idle_s = 2 * settings.lease_s
     front = Server(settings.front, node.api.route, patience + 0.5, idle_s, limits.front, is_users, limits.users)
     internal = Server(settings.internal, node.peer_route, patience, idle_s, limits.internal)
-    for actor, name in node.actors():
-        system.spawn(actor, name)
+    system.spawn(node.actors())
     internal.begin("internal")
     threading.Thread(target=tell_accounts, args=(system,), name="accounts", daemon=True).start()
     log.info("%s serves users and workers at %s:%d", settings.node, *settings.front)
