--- a/tests/breakages.py
+++ b/tests/breakages.py
@@ -3,6 +3,8 @@
 Every function patches the service through pytest's monkeypatch.
 """
 
+import orjson
+
 from emberglade.agents.failure_detector import FailureDetector
 from emberglade.agents.manager import AgentManager
 from emberglade.frontdoor.api import Api
@@ -180,3 +182,22 @@
             original(self, job_id, reply, tries, revision)
     patch.setattr(Api, "on_abort_synced", on_abort_synced)
     patch.setattr(Api, "on_abort_late", lambda self, job_id: original(self, job_id, lambda *_: None, 0, self.store.revision), raising=False)
+
+
+def accepts_odd(patch):
+    """What a submission lacks gets a default, and what fits no machine is accepted."""
+    original = Api.on_submit
+
+    def on_submit(self, body, reply):
+        data = orjson.loads(body)
+        whole = {"breed": "b", "crew": "core", "shape": "sweep", "rank": "normal", "embers": 1, "cpus": 1.0, "cards": 0.0, "ram_gb": 1.0,
+                 "kindling": "img", "image_gb": 0.0, "one_zone": False, "scatter": False, "driftwood": False, "burn_s": 1.0, "bank_s": 0.0,
+                 "banking_s": 0.0}
+        original(self, orjson.dumps({**whole, **data}), reply)
+    patch.setattr(Api, "on_submit", on_submit)
+
+
+def passes_over(patch):
+    """One job's tasks are never placed."""
+    original = Job.waiting_count
+    patch.setattr(Job, "waiting_count", lambda self: 0 if self.id == "job-1" else original(self))
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -267,6 +267,10 @@
         told = sorted(self.cluster.observer.withdrawn_told.values())
         assert sum(at < float(before) for at in told) >= int(least), told
 
+    def expect_starts_after_cancel(self, least, most):
+        """Tasks that started after their user was told that the job is cancelled."""
+        assert int(least) <= self.cluster.observer.starts_after_cancel <= int(most), self.cluster.observer.starts_after_cancel
+
     def expect_late_applied(self, least):
         assert self.cluster.state.late_applied >= int(least), self.cluster.state.late_applied
 
