The gap in silence: peers answer at once without contact, and nobody is sent away for a clear

A job that needs nothing and is bound to a zone would have ended each round of counting demand; from reading.

--- a/emberglade/agents/exchange.py
+++ b/emberglade/agents/exchange.py
@@ -85,7 +85,14 @@
         return rows
 
     def on_heard(self, only, reply):
-        """A peer asks what is known here; answered from a copy synced after the question."""
+        """A peer asks what is known here; answered from a copy synced after the question.
+
+        Without contact a sync may take longer than the peer waits; what the copy's revision says it needs at once
+        (meetings/gap_silent.txt).
+        """
+        if self.now() - self.contact > self.settings.lease_s / 4:
+            self.on_heard_synced(only, reply, None)
+            return
         self.store.tell("sync", self.then("heard_synced", only, reply))
 
     def on_heard_synced(self, only, reply, revision):
--- a/emberglade/agents/manager.py
+++ b/emberglade/agents/manager.py
@@ -22,6 +22,8 @@
 
 log = logging.getLogger("emberglade.agents")
 
+CLEAR, START = "clear", "start"  # commands that take a sync
+
 
 class Known:
     """A machine as last reported here."""
@@ -259,9 +261,9 @@
         told = self.tell_holders(report, known.tasks)
         token, commands, more = self.commands(known, False)
         known.quiet = not (told or commands or more or token > report.token or known.deaf) and report.notice_s is None
-        if more and better is not None and not commands:
-            # This node knows what the others know, but a start or a clear needs one that can sync. Nobody is sent
-            # away for less: a worker that can't reach the other loses its lease on the way (meetings/gap.txt).
+        if more == START and better is not None and not commands:
+            # This node knows what the others know, but a start needs one that can sync. Nobody is sent away for
+            # less: a worker that can't reach the other loses its lease on the way (meetings/gap_silent.txt).
             reply(421, wire.elsewhere(better))
         elif more:
             self.waited += 1
@@ -316,9 +318,9 @@
                 known.probe = self.revision
 
     def commands(self, known, synced):
-        """(token, commands, whether a sync would allow more)."""
+        """(token, commands, what more a sync would allow: nothing, a clear, or a start)."""
         report, tasks = known.report, known.tasks
-        token, commands, more = max(report.token, known.probe or 0), [], False
+        token, commands, more = max(report.token, known.probe or 0), [], None
         bound = self.bound.get(report.machine, {})
         tainted = report.machine in self.taints
         for key, seen in tasks.items():
@@ -338,7 +340,7 @@
                 token = max(token, self.withdrawn_revision(key[0]))
                 commands.append(wire.halt(name, seen.attempt, 0))
             elif not synced:
-                more = True
+                more = more or CLEAR
             elif seen.state == "exited":
                 # Fenced: no start of this attempt that is still on its way can follow the clear.
                 token = max(token, self.revision)
@@ -360,7 +362,7 @@
             elif tainted or known.deaf or report.notice_s is not None:
                 continue
             elif not synced:
-                more = True
+                more = START
             else:
                 commands.append(wire.start(task_name(*key), want[0]))
         return token, commands, more
--- a/emberglade/placement/demand.py
+++ b/emberglade/placement/demand.py
@@ -52,7 +52,8 @@
             machine = room.machines[name]
             if machine.zone == zone and (spec.spot or not machine.spot) and (spec.types is None or machine.type.name in spec.types):
                 free = room.free[name]
-                waiting -= int(min(have / need for have, need in zip(free, (spec.cpus, spec.gpus, spec.ram), strict=True) if need > 0) + SLACK)
+                waiting -= int(min((have / need for have, need in zip(free, (spec.cpus, spec.gpus, spec.ram), strict=True) if need > 0),
+                                   default=waiting) + SLACK)
                 if waiting <= 0:
                     break
         fitting = [t for t in types.values() if t.allows(spec) and zone in t.zones]
