--- a/emberglade/agents/exchange.py
+++ b/emberglade/agents/exchange.py
@@ -13,7 +13,7 @@
 
 TABLE_S = 5.0  # the DESIGN page's interval of tables
 MOST_ASKED = 1000  # machines in one question: well below 64 KiB
-MOST_PARTS = 9999  # stands for the number of a table's further values until it is known
+MOST_PARTS = 9999  # further values of a table without machines: they never come
 FRAME_BYTES = 96  # of a table's value: the node's incarnation, the table's number and field names
 MOST_VALUE = 32 * 1024  # of a table, however much the state service takes: transactions are limited too
 
@@ -27,6 +27,8 @@
         self.detector = FailureDetector(settings)
         self.tables = {}  # node -> {key: data}
         self.table_number = 0
+        self.asked_by = {}  # peer -> when it last asked here, and so could get an answer
+        self.rows_in_table = False  # whether the last table held machines
         self.asked = {}  # peer -> when it was asked
         self.asked_whole = float("-inf")
         self.inventory, self.inventory_told = {}, float("-inf")
@@ -48,13 +50,15 @@
             if now - self.asked.get(name, -100) < 3 * self.settings.report_s:
                 continue
             self.asked[name] = now
-            link.call("POST", "/peer/heard", {} if whole else {"of": lost[:MOST_ASKED]}, 2 * self.settings.report_s,
+            link.call("POST", "/peer/heard", wire.question(self.settings.node, None if whole else lost[:MOST_ASKED]), 2 * self.settings.report_s,
                       self.then("peer_heard", name, now, None if whole else frozenset(lost[:MOST_ASKED])))
 
     def on_tick(self):
         self.after(min(1.0, self.settings.report_s), "tick")
         self.answer_late(self.now())
         self.write_facts()
+        if self.needs_rows(self.now()) and not self.rows_in_table:
+            self.ask_for_table()
         if self.now() - self.inventory_told >= max(1.0, self.settings.report_s / 2):
             self.tell_inventory()
 
@@ -86,16 +90,17 @@
                           report.tally, report.notice_s is not None, known.deaf, report.addr)
         return rows
 
-    def on_heard(self, only, reply):
+    def on_heard(self, question, reply):
         """A peer asks what is known here; answered from a copy synced after the question.
 
         Without contact a sync may take longer than the peer waits; what the copy's revision says it needs at once
         (meetings/gap_silent.txt).
         """
+        self.asked_by[question.asker] = self.now()
         if self.now() - self.contact > self.settings.lease_s / 4:
-            self.on_heard_synced(only, reply, None)
+            self.on_heard_synced(question.only, reply, None)
             return
-        self.store.tell("sync", self.then("heard_synced", only, reply))
+        self.store.tell("sync", self.then("heard_synced", question.only, reply))
 
     def on_heard_synced(self, only, reply, revision):
         now = self.now()
@@ -174,10 +179,22 @@
 
     def on_tables(self):
         self.after(TABLE_S, "tables")
+        self.ask_for_table()
+
+    def ask_for_table(self):
         self.job_manager.tell("demand", self.then("table_demand"))
 
+    def needs_rows(self, now):
+        """Whether a live peer and this controller don't hear each other, so that only tables tell of machines.
+
+        Rows of machines are most of a table, and tables were most of what a quiet cluster wrote.
+        """
+        lately = now - 2 * self.settings.report_s
+        return any(self.asked_by.get(name, -1e9) < lately or name not in self.detector.told or self.detector.told[name].asked < lately
+                   for name in self.peers if name in self.nodes)
+
     def on_table_demand(self, demand, shortage):
-        """Counts and machines, in as many values as they need; they share one transaction."""
+        """Counts, and machines if they are needed, in as many values as they take."""
         now = self.now()
         types = sorted(self.types)
         # The lease's number and a count: no two tables of a node share it.
@@ -187,8 +204,12 @@
                  "z": [[*pool, round(count, 4)] for pool, count in shortage.items()],
                  "up": now - self.born, "contact": min(1e6, now - self.contact), "rev": self.revision, "types": types, "m": {}}
         most = min(self.settings.value_bytes, MOST_VALUE) - FRAME_BYTES
-        places = self.pack_rows(types, now, most, most - len(orjson.dumps(first)))
-        first["parts"], first["m"] = len(places) - 1, places[0]
+        self.rows_in_table = self.needs_rows(now)
+        # A table that lacks further values is never taken for a statement about machines.
+        places = [{}]
+        if self.rows_in_table:
+            places = self.pack_rows(types, now, most, most - len(orjson.dumps(first)))
+            first["parts"], first["m"] = len(places) - 1, places[0]
         self.member.tell("table", first, [{"t": number, "m": rows} for rows in places[1:]])
 
     def pack_rows(self, types, now, most, first_room):
--- a/emberglade/agents/manager.py
+++ b/emberglade/agents/manager.py
@@ -240,7 +240,9 @@
             return
         now = self.now()
         better = self.better_node(now)
-        if better is not None and now - self.detector.level_since() > self.settings.lease_s / 4:
+        # Peers that lose contact themselves answer questions late by up to what a sync may take (meetings/gap_silent.txt, 2).
+        level_for = self.settings.lease_s / 4 + self.settings.report_s
+        if better is not None and now - self.detector.level_since() > level_for:
             reply(421, wire.elsewhere(better))
             return
         name = report.machine
--- a/emberglade/agents/wire.py
+++ b/emberglade/agents/wire.py
@@ -114,10 +114,23 @@
     return [fact for fact in data if isinstance(fact, list) and len(fact) > 3 and fact[0] in FACTS] if isinstance(data, list) else []
 
 
+class Question(NamedTuple):
+    """What a peer wants to know: all machines, or only some."""
+
+    asker: str | None  # the version before does not say
+    only: list | None
+
+
+def question(asker, only):
+    return {"from": asker} if only is None else {"from": asker, "of": only}
+
+
 def read_question(data):
-    """The machines that a peer asks about, or None for all."""
-    names = data.get("of") if isinstance(data, dict) else None
-    return [name for name in names if isinstance(name, str)] if isinstance(names, list) else None
+    """A peer's Question; whatever is odd in it counts as missing."""
+    data = data if isinstance(data, dict) else {}
+    names, asker = data.get("of"), data.get("from")
+    only = [name for name in names if isinstance(name, str)] if isinstance(names, list) else None
+    return Question(asker if isinstance(asker, str) else None, only)
 
 
 class Row(NamedTuple):
