--- a/emberglade/actors.py
+++ b/emberglade/actors.py
@@ -79,7 +79,8 @@
         actor.system = self
         mailbox = queue.SimpleQueue()
         actor._post = lambda delay, message, args: mailbox.put(
-            (self.now() + delay if delay > 0 else 0.0, message, args))
+            (self.now() + delay if delay > 0 else 0.0, message, args)
+        )
         account = self.busy[name] = [0.0, 0]
         turn = threading.Lock()  # held by whichever thread delivers a message to this actor
         turn.acquire()  # until it has begun
@@ -92,8 +93,11 @@
                 self._deliver(actor, message, args, account)
             finally:
                 turn.release()
+
         actor._hand = hand
-        return threading.Thread(target=self._run, args=(actor, mailbox, turn, account), name=name, daemon=True)
+        return threading.Thread(
+            target=self._run, args=(actor, mailbox, turn, account), name=name, daemon=True
+        )
 
     def take_account(self):
         """{actor: (seconds in its messages, messages)} since the last call."""
@@ -117,7 +121,9 @@
                     # Mail is not starved by timers that are always due.
                     wait = 0
             try:
-                due, message, args = mailbox.get(timeout=wait) if wait != 0 else mailbox.get_nowait()
+                due, message, args = (
+                    mailbox.get(timeout=wait) if wait != 0 else mailbox.get_nowait()
+                )
             except queue.Empty:
                 continue
             if due:
--- a/emberglade/agents/exchange.py
+++ b/emberglade/agents/exchange.py
@@ -15,7 +15,9 @@
 MOST_ASKED = 1000  # machines in one question: well below 64 KiB
 MOST_PARTS = 9999  # further values of a table without machines: they never come
 FRAME_BYTES = 96  # of a table's value: the node's incarnation, the table's number and field names
-MOST_VALUE = 32 * 1024  # of a table, however much the state service takes: transactions are limited too
+MOST_VALUE = (
+    32 * 1024
+)  # of a table, however much the state service takes: transactions are limited too
 
 
 class PeerExchange:
@@ -39,7 +41,9 @@
         """Asks peers for all machines now and then, and more often for those whose tasks wait for proof."""
         now = self.now()
         often, interval = min(1.0, self.settings.report_s) / 4, max(1.0, self.settings.report_s / 2)
-        lost = [name for name, taint in self.taints.items() if taint == "lost" and name in self.bound]
+        lost = [
+            name for name, taint in self.taints.items() if taint == "lost" and name in self.bound
+        ]
         self.after(often if lost else interval, "ask_peers")
         whole = now - self.asked_whole >= interval - often / 2
         if not whole and not lost:
@@ -50,8 +54,13 @@
             if now - self.asked.get(name, -100) < 3 * self.settings.report_s:
                 continue
             self.asked[name] = now
-            link.call("POST", "/peer/heard", wire.question(self.settings.node, None if whole else lost[:MOST_ASKED]), 2 * self.settings.report_s,
-                      self.then("peer_heard", name, now, None if whole else frozenset(lost[:MOST_ASKED])))
+            link.call(
+                "POST",
+                "/peer/heard",
+                wire.question(self.settings.node, None if whole else lost[:MOST_ASKED]),
+                2 * self.settings.report_s,
+                self.then("peer_heard", name, now, None if whole else frozenset(lost[:MOST_ASKED])),
+            )
 
     def on_tick(self):
         self.after(min(1.0, self.settings.report_s), "tick")
@@ -68,8 +77,17 @@
     @staticmethod
     def row(known, now):
         report = known.report
-        return wire.Row(round(now - max(known.heard, known.answered), 3), report.type, report.zone, report.spot, report.session,
-                        report.tally, report.notice_s is not None, known.deaf, report.addr)
+        return wire.Row(
+            round(now - max(known.heard, known.answered), 3),
+            report.type,
+            report.zone,
+            report.spot,
+            report.session,
+            report.tally,
+            report.notice_s is not None,
+            known.deaf,
+            report.addr,
+        )
 
     def rows(self, now, within, only=None):
         """{machine: a Row's values} of what reported here lately, or ever if nobody has newer news of it.
@@ -77,7 +95,11 @@
         Workers go from node to node: without the latter half, each node would soon tell of them all.
         """
         rows, view = {}, self.detector.view
-        for name, known in self.known.items() if only is None else [(n, self.known[n]) for n in only if n in self.known]:
+        for name, known in (
+            self.known.items()
+            if only is None
+            else [(n, self.known[n]) for n in only if n in self.known]
+        ):
             quiet = now - known.heard
             if quiet >= within:
                 if quiet >= 10 * self.settings.lease_s:
@@ -86,8 +108,17 @@
                 if last_seen is not None and last_seen.age > known.report.age:
                     continue
             report = known.report
-            rows[name] = (round(now - max(known.heard, known.answered), 3), report.type, report.zone, report.spot, report.session,
-                          report.tally, report.notice_s is not None, known.deaf, report.addr)
+            rows[name] = (
+                round(now - max(known.heard, known.answered), 3),
+                report.type,
+                report.zone,
+                report.spot,
+                report.session,
+                report.tally,
+                report.notice_s is not None,
+                known.deaf,
+                report.addr,
+            )
         return rows
 
     def on_heard(self, question, reply):
@@ -104,8 +135,16 @@
 
     def on_heard_synced(self, only, reply, revision):
         now = self.now()
-        reply(200, wire.statement(now - self.born, min(1e6, now - self.contact), revision, self.revision,
-                                  self.rows(now, 2 * self.settings.lease_s, only)))
+        reply(
+            200,
+            wire.statement(
+                now - self.born,
+                min(1e6, now - self.contact),
+                revision,
+                self.revision,
+                self.rows(now, 2 * self.settings.lease_s, only),
+            ),
+        )
 
     def on_peer_heard(self, name, asked, only, status, body):
         self.asked.pop(name, None)
@@ -113,10 +152,20 @@
             log.info("%s made an odd statement; it is asked again", name)
         elif status == 200 and only is None:
             self.detector.compare_copies(self.revision)
-            if self.detector.told[name].copy_revision > self.revision >= 0 and self.now() - self.contact > self.settings.report_s / 2:
+            if (
+                self.detector.told[name].copy_revision > self.revision >= 0
+                and self.now() - self.contact > self.settings.report_s / 2
+            ):
                 # The state service is out of reach here. What it committed may be had from this peer.
-                self.peers[name].call("POST", "/peer/changes", state_wire.since(self.revision), 2 * self.settings.report_s,
-                                      lambda status, body, since=self.revision: self.store.tell("changes_of_peer", since, status, body))
+                self.peers[name].call(
+                    "POST",
+                    "/peer/changes",
+                    state_wire.since(self.revision),
+                    2 * self.settings.report_s,
+                    lambda status, body, since=self.revision: self.store.tell(
+                        "changes_of_peer", since, status, body
+                    ),
+                )
 
     def soon_inventory(self):
         if not self.inventory_due:
@@ -127,21 +176,36 @@
         self.inventory_due = False
         if self.newcomers:
             # After a restart hundreds come at once: one line for all.
-            log.info("%d machines begin to report here: %s%s", len(self.newcomers), " ".join(self.newcomers[:8]),
-                     " and others" if len(self.newcomers) > 8 else "")
+            log.info(
+                "%d machines begin to report here: %s%s",
+                len(self.newcomers),
+                " ".join(self.newcomers[:8]),
+                " and others" if len(self.newcomers) > 8 else "",
+            )
             self.newcomers = []
-        for names, text in ((self.deaf_now, "%d machines lost their lease although they were answered; they get no work until they hear us: %s%s"),
-                            (self.hearing_now, "%d machines hear us again: %s%s")):
+        for names, text in (
+            (
+                self.deaf_now,
+                "%d machines lost their lease although they were answered; they get no work until they hear us: %s%s",
+            ),
+            (self.hearing_now, "%d machines hear us again: %s%s"),
+        ):
             if names:
-                log.info(text, len(names), " ".join(names[:8]), " and others" if len(names) > 8 else "")
+                log.info(
+                    text, len(names), " ".join(names[:8]), " and others" if len(names) > 8 else ""
+                )
                 names.clear()
         self.tell_inventory()
 
     def tell_inventory(self):
         now = self.now()
-        for name in [n for n, k in self.known.items() if now - k.heard > 10 * self.settings.lease_s]:
+        for name in [
+            n for n, k in self.known.items() if now - k.heard > 10 * self.settings.lease_s
+        ]:
             del self.known[name]
-        self.sent_home = {name: at for name, at in self.sent_home.items() if now - at < 4 * self.settings.lease_s}
+        self.sent_home = {
+            name: at for name, at in self.sent_home.items() if now - at < 4 * self.settings.lease_s
+        }
         self.detector.forget_old(now)
         fresh = 3 * self.settings.report_s + 1
         if self.detector.missing_peers(now):
@@ -153,8 +217,14 @@
             if row.type in self.types:
                 usable = now - last_seen.heard < fresh and not row.notice and not row.deaf
                 old = self.inventory.get(name)
-                if old is None or (old.session, old.open) != (row.session, usable) or old.type is not self.types[row.type]:
-                    old = Machine(name, self.types[row.type], row.zone, row.spot, row.session, usable)
+                if (
+                    old is None
+                    or (old.session, old.open) != (row.session, usable)
+                    or old.type is not self.types[row.type]
+                ):
+                    old = Machine(
+                        name, self.types[row.type], row.zone, row.spot, row.session, usable
+                    )
                 inventory[name] = old
         self.inventory, self.inventory_told = inventory, now
         self.job_manager.tell("inventory", inventory)
@@ -167,12 +237,27 @@
         # Tables are older than what a peer would answer; that is not the machines' silence. Nor is it a
         # sign of life.
         slack = TABLE_S if self.detector.missing_peers(now) else 0.0
-        for name in sorted(set(self.taints) if tainted else set(self.detector.view) | set(self.bound) | set(self.taints)):
-            last_seen, known, taint = self.detector.view.get(name), self.known.get(name), self.taints.of.get(name)
+        for name in sorted(
+            set(self.taints)
+            if tainted
+            else set(self.detector.view) | set(self.bound) | set(self.taints)
+        ):
+            last_seen, known, taint = (
+                self.detector.view.get(name),
+                self.known.get(name),
+                self.taints.of.get(name),
+            )
             own = max(known.heard, known.answered) if known else self.born
             heard = last_seen.heard if last_seen is not None else self.born
-            proven = taint is not None and self.detector.proven_over(name, own, taint[1], taint[2], now)
-            result[name] = (heard, proven, last_seen is not None and last_seen.row.deaf, last_seen is not None)
+            proven = taint is not None and self.detector.proven_over(
+                name, own, taint[1], taint[2], now
+            )
+            result[name] = (
+                heard,
+                proven,
+                last_seen is not None and last_seen.row.deaf,
+                last_seen is not None,
+            )
         reply(result, slack)
 
     # --- tables in the state service
@@ -190,8 +275,13 @@
         Rows of machines are most of a table, and tables were most of what a quiet cluster wrote.
         """
         lately = now - 2 * self.settings.report_s
-        return any(self.asked_by.get(name, -1e9) < lately or name not in self.detector.told or self.detector.told[name].asked < lately
-                   for name in self.peers if name in self.nodes)
+        return any(
+            self.asked_by.get(name, -1e9) < lately
+            or name not in self.detector.told
+            or self.detector.told[name].asked < lately
+            for name in self.peers
+            if name in self.nodes
+        )
 
     def on_table_demand(self, demand, shortage):
         """Counts, and machines if they are needed, in as many values as they take."""
@@ -200,9 +290,18 @@
         # The lease's number and a count: no two tables of a node share it.
         self.table_number += 1
         number = f"{self.incarnation}-{self.table_number}"
-        first = {"t": number, "parts": MOST_PARTS, "d": [[*pool, round(count, 4)] for pool, count in demand.items()], "wall": self.system.wall(),
-                 "z": [[*pool, round(count, 4)] for pool, count in shortage.items()],
-                 "up": now - self.born, "contact": min(1e6, now - self.contact), "rev": self.revision, "types": types, "m": {}}
+        first = {
+            "t": number,
+            "parts": MOST_PARTS,
+            "d": [[*pool, round(count, 4)] for pool, count in demand.items()],
+            "wall": self.system.wall(),
+            "z": [[*pool, round(count, 4)] for pool, count in shortage.items()],
+            "up": now - self.born,
+            "contact": min(1e6, now - self.contact),
+            "rev": self.revision,
+            "types": types,
+            "m": {},
+        }
         most = min(self.settings.value_bytes, MOST_VALUE) - FRAME_BYTES
         self.rows_in_table = self.needs_rows(now)
         # A table that lacks further values is never taken for a statement about machines.
@@ -215,9 +314,20 @@
     def pack_rows(self, types, now, most, first_room):
         """The machines' rows in dictionaries of at most `most` bytes each, the first of them `first_room`."""
         zones, places, room = self.settings.zones, [{}], first_room
-        for name, (age_s, kind, zone, spot, session, tally, notice, deaf, addr) in self.rows(now, 2 * self.settings.lease_s).items():
-            short = [age_s, types.index(kind) if kind in types else kind, zones.index(zone) if zone in zones else zone, int(spot),
-                     session, tally, int(notice), int(deaf), addr]
+        for name, (age_s, kind, zone, spot, session, tally, notice, deaf, addr) in self.rows(
+            now, 2 * self.settings.lease_s
+        ).items():
+            short = [
+                age_s,
+                types.index(kind) if kind in types else kind,
+                zones.index(zone) if zone in zones else zone,
+                int(spot),
+                session,
+                tally,
+                int(notice),
+                int(deaf),
+                addr,
+            ]
             room -= len(orjson.dumps(short)) + len(name) + 4
             if room < 0:
                 places.append({})
@@ -233,15 +343,31 @@
         table = first["table"]
         try:
             types, zones = table["types"], self.settings.zones
-            values = [table, *(data for key, data in parts.items() if key.startswith("r/") and data["t"] == table["t"])]
+            values = [
+                table,
+                *(
+                    data
+                    for key, data in parts.items()
+                    if key.startswith("r/") and data["t"] == table["t"]
+                ),
+            ]
             if len(values) != table["parts"] + 1:
                 return  # the rest is on its way; a row that is missing would pass for a machine never heard
             rows = {}
             for data in values:
                 for name, (age_s, kind, zone, *rest) in data["m"].items():
-                    rows[name] = [age_s, types[kind] if isinstance(kind, int) else kind,
-                                  zones[zone] if isinstance(zone, int) else zone, *rest]
-            body = {"up": table["up"], "contact": table["contact"], "rev": table["rev"], "known": rows}
+                    rows[name] = [
+                        age_s,
+                        types[kind] if isinstance(kind, int) else kind,
+                        zones[zone] if isinstance(zone, int) else zone,
+                        *rest,
+                    ]
+            body = {
+                "up": table["up"],
+                "contact": table["contact"],
+                "rev": table["rev"],
+                "known": rows,
+            }
             self.detector.read_table(node, self.now(), self.system.wall() - table["wall"], body)
         except (KeyError, TypeError, ValueError, IndexError) as error:
             log.info("the table of %s is odd (%s); the next one is awaited", node, error)
--- a/emberglade/agents/failure_detector.py
+++ b/emberglade/agents/failure_detector.py
@@ -77,7 +77,9 @@
         if found is None:
             return False
         lately = 2 * self.settings.report_s
-        statement = Statement(asked, got, *found, sum(row.age_s < lately for row in found[3].values()))
+        statement = Statement(
+            asked, got, *found, sum(row.age_s < lately for row in found[3].values())
+        )
         if only is None:
             self.told[peer] = statement
         else:
@@ -98,7 +100,10 @@
 
     def level_since(self):
         """A moment up to which no peer had told anybody of anything that our copy does not show."""
-        return min((self.level.get(peer.name, float("-inf")) for peer in self.settings.peers), default=float("-inf"))
+        return min(
+            (self.level.get(peer.name, float("-inf")) for peer in self.settings.peers),
+            default=float("-inf"),
+        )
 
     def read_table(self, peer, got, age_s, body):
         """A peer's table, about `age_s` old by the time of day."""
@@ -131,8 +136,12 @@
 
     def missing_peers(self, now):
         """Whether a peer has not answered lately, so that only its tables tell of its machines."""
-        return any(now - self.told[p.name].asked > 4 * self.settings.report_s if p.name in self.told else True
-                   for p in self.settings.peers)
+        return any(
+            now - self.told[p.name].asked > 4 * self.settings.report_s
+            if p.name in self.told
+            else True
+            for p in self.settings.peers
+        )
 
     def forget_old(self, now):
         oldest = now - 10 * self.settings.lease_s
@@ -152,9 +161,15 @@
         for peer in self.settings.peers:
             # (the latest moment at which this node may have answered, up to when that is known)
             only, brief = self.brief.get(peer.name, ((), None))
-            said = [(s.last_heard(machine), s.asked)
-                    for s in (self.told.get(peer.name), self.written.get(peer.name), brief if machine in only else None)
-                    if s is not None and s.revision is not None and s.revision >= taint_stamp]
+            said = [
+                (s.last_heard(machine), s.asked)
+                for s in (
+                    self.told.get(peer.name),
+                    self.written.get(peer.name),
+                    brief if machine in only else None,
+                )
+                if s is not None and s.revision is not None and s.revision >= taint_stamp
+            ]
             gone = self.absent.get(peer.name)
             if gone is not None:
                 # Once broken: this node was left out of the account, though a worker that it had
--- a/emberglade/agents/manager.py
+++ b/emberglade/agents/manager.py
@@ -61,11 +61,19 @@
         PeerExchange.__init__(self, settings)
         Withdrawals.__init__(self, settings)
         self.settings = settings
-        self.store, self.job_manager, self.member, self.peers, self.workers = store, job_manager, member, peers, workers
+        self.store, self.job_manager, self.member, self.peers, self.workers = (
+            store,
+            job_manager,
+            member,
+            peers,
+            workers,
+        )
         self.known = {}
         self.jobs = {}  # job -> Entry
         self.bound = {}  # machine -> {(job, task): (attempt, stop, revision at which the stop was seen, session)}
-        self.touched = set()  # machines whose bindings or taint changed since their last report here
+        self.touched = (
+            set()
+        )  # machines whose bindings or taint changed since their last report here
         self.fresh = []  # bindings and stops that came with the change at hand
         self.loose = {}
         self.taints = Taints()
@@ -188,7 +196,10 @@
     def change_layout(self, job_id, entry, data, stamp):
         """The record names other parts. The tasks that both show bound stay so, in one step."""
         old = dict(entry.bound())
-        parts = {number: Part.bound_rows(part) for number, (part, _) in self.take_loose(job_id, data["g"]).items()}
+        parts = {
+            number: Part.bound_rows(part)
+            for number, (part, _) in self.take_loose(job_id, data["g"]).items()
+        }
         parts[0] = Part.bound_rows(data.get("p", {}))
         entry.generation, entry.parts = data["g"], parts
         self.rebind(job_id, old, dict(entry.bound()), stamp)
@@ -227,7 +238,12 @@
                 self.fresh.append((job_id, task, *row[:3]))
 
     def hold(self, job_id, task, row, since):
-        self.bound.setdefault(row[1], {})[(job_id, task)] = (row[0], row[3] if len(row) > 3 else KEEP, since, row[2])
+        self.bound.setdefault(row[1], {})[(job_id, task)] = (
+            row[0],
+            row[3] if len(row) > 3 else KEEP,
+            since,
+            row[2],
+        )
         self.touched.add(row[1])
 
     # --- reports
@@ -273,8 +289,15 @@
         if fresh:
             self.newcomers.append(name)
             self.soon_inventory()
-        if (known.quiet and known.tasks is not None and name not in self.touched and report.raw == before.raw
-                and report.session == before.session and report.notice_s is None and not known.deaf):
+        if (
+            known.quiet
+            and known.tasks is not None
+            and name not in self.touched
+            and report.raw == before.raw
+            and report.session == before.session
+            and report.notice_s is None
+            and not known.deaf
+        ):
             # Nothing is new: most reports end here, and most of the processor's time is reports.
             reply(200, wire.answer(report.token, []))
             return
@@ -289,7 +312,10 @@
         self.touched.discard(name)
         told = self.tell_holders(report, known.tasks)
         token, commands, more = self.commands(known, False)
-        known.quiet = not (told or commands or more or token > report.token or known.deaf) and report.notice_s is None
+        known.quiet = (
+            not (told or commands or more or token > report.token or known.deaf)
+            and report.notice_s is None
+        )
         if more == START and better is not None and not commands:
             # This node knows what the others know, but a start needs one that can sync. Nobody is sent away for
             # less: a worker that can't reach the other loses its lease on the way (meetings/gap_silent.txt).
@@ -332,7 +358,10 @@
         """
         lease, report_s = self.settings.lease_s, self.settings.report_s
         if last_seen is not None and not known.deaf:
-            early = report.session > last_seen.row.session and now - last_seen.heard < lease - 2 * report_s
+            early = (
+                report.session > last_seen.row.session
+                and now - last_seen.heard < lease - 2 * report_s
+            )
             if early or last_seen.row.deaf:
                 known.deaf, known.probe = True, None
                 if early:
@@ -376,7 +405,12 @@
                 commands.append(wire.clear(name, seen.attempt))
             else:
                 token = max(token, self.revision)
-                log.info("%s attempt %d on %s is not wanted there; stopping it", name, seen.attempt, report.machine)
+                log.info(
+                    "%s attempt %d on %s is not wanted there; stopping it",
+                    name,
+                    seen.attempt,
+                    report.machine,
+                )
                 commands.append(wire.halt(name, seen.attempt, 0))
         for key, want in bound.items():
             seen = tasks.get(key)
@@ -423,12 +457,20 @@
             # Once broken: the binding and its stop came in one change, and the start went out all the
             # same, with a token above the stop's (rules/stopped_in_one_change.txt).
             want = self.bound.get(machine, {}).get((job_id, task))
-            if want is None or want[0] != attempt or want[3] != session or entry.withdrawn \
-                    or self.holder_of(entry.spec) != self.settings.node:
+            if (
+                want is None
+                or want[0] != attempt
+                or want[3] != session
+                or entry.withdrawn
+                or self.holder_of(entry.spec) != self.settings.node
+            ):
                 continue
             name = task_name(job_id, task)
             machines.setdefault((machine, session), []).append(
-                wire.start(name, attempt) if want[1] == KEEP else wire.halt(name, attempt, self.grace(entry, want[1])))
+                wire.start(name, attempt)
+                if want[1] == KEEP
+                else wire.halt(name, attempt, self.grace(entry, want[1]))
+            )
         now = self.now()
         for (machine, session), commands in machines.items():
             last_seen = self.detector.view.get(machine)
@@ -437,10 +479,22 @@
             row = last_seen.row
             if machine in self.taints or row.notice:
                 commands = [command for command in commands if wire.is_halt(command)]
-            if not commands or not row.addr or row.session != session or row.deaf or now - last_seen.heard > self.settings.lease_s / 2:
+            if (
+                not commands
+                or not row.addr
+                or row.session != session
+                or row.deaf
+                or now - last_seen.heard > self.settings.lease_s / 2
+            ):
                 continue
-            self.workers.call(row.addr, "POST", "/commands", wire.orders(self.revision, session, commands),
-                              self.settings.report_s, self.then("ordered", machine))
+            self.workers.call(
+                row.addr,
+                "POST",
+                "/commands",
+                wire.orders(self.revision, session, commands),
+                self.settings.report_s,
+                self.then("ordered", machine),
+            )
 
     def on_ordered(self, machine, status, body):
         """200 or 409: the body is the worker's report, newer than what is known here."""
@@ -474,7 +528,9 @@
                     fact = ("stop", key[0], key[1], want[0], SAVE, "its machine is taken back")
                 else:
                     continue
-            elif report.session > want[3] or (report.session == want[3] and stop != KEEP and report.token >= since):
+            elif report.session > want[3] or (
+                report.session == want[3] and stop != KEEP and report.token >= since
+            ):
                 # Its session is over, or its start can't be accepted any more: it will never run.
                 fact = ("gone", key[0], key[1], want[0], report.machine)
             elif stop == KEEP and report.notice_s is not None:
@@ -511,8 +567,14 @@
         for node, facts in outbox.items():
             rows = list(facts.values())
             for first in range(0, len(rows), 200):
-                some = rows[first:first + 200]
-                self.peers[node].call("POST", "/peer/facts", some, self.settings.report_s, self.then("facts_sent", node, some))
+                some = rows[first : first + 200]
+                self.peers[node].call(
+                    "POST",
+                    "/peer/facts",
+                    some,
+                    self.settings.report_s,
+                    self.then("facts_sent", node, some),
+                )
 
     def on_facts_sent(self, node, facts, status, body):
         if status == 200:
@@ -532,8 +594,13 @@
                     rows.setdefault(node, []).append(fact)
         if rows or self.wrote_facts:
             self.wrote_facts = bool(rows)
-            self.store.tell("commit", DECISIONS, [], [state_wire.put(f"{LIVE}f/{self.settings.node}", {"to": rows})],
-                             lambda status, revision, failed: None)
+            self.store.tell(
+                "commit",
+                DECISIONS,
+                [],
+                [state_wire.put(f"{LIVE}f/{self.settings.node}", {"to": rows})],
+                lambda status, revision, failed: None,
+            )
 
     # --- who may answer
 
@@ -554,7 +621,10 @@
         if now - self.contact < quarter:
             return None
         for name, said in self.detector.told.items():
-            if now - said.got < 2 * self.settings.report_s and said.contact_s + now - said.got < quarter:
+            if (
+                now - said.got < 2 * self.settings.report_s
+                and said.contact_s + now - said.got < quarter
+            ):
                 return name
         return None
 
@@ -567,17 +637,29 @@
         reach that node stays where it is heard.
         """
         settings, name = self.settings, report.machine
-        if report.zone == settings.zone or report.notice_s is not None or now - self.sent_home.get(name, float("-inf")) < 4 * settings.lease_s:
+        if (
+            report.zone == settings.zone
+            or report.notice_s is not None
+            or now - self.sent_home.get(name, float("-inf")) < 4 * settings.lease_s
+        ):
             return None
         inside = []
         for peer in settings.peers:
             said = self.detector.told.get(peer.name)
-            if (peer.zone == report.zone and peer.name in self.nodes and said is not None
-                    and now - said.got < 2 * settings.report_s and said.contact_s + now - said.got < settings.lease_s / 4
-                    # It hears workers, or is to show by one now and then that it does.
-                    and (said.hearing or now - self.tried_home.get(peer.name, float("-inf")) > settings.lease_s / 4)
-                    # One node is not to hear them all, if most machines are in its zone.
-                    and said.hearing <= 3 * len(self.detector.view) / settings.size):
+            if (
+                peer.zone == report.zone
+                and peer.name in self.nodes
+                and said is not None
+                and now - said.got < 2 * settings.report_s
+                and said.contact_s + now - said.got < settings.lease_s / 4
+                # It hears workers, or is to show by one now and then that it does.
+                and (
+                    said.hearing
+                    or now - self.tried_home.get(peer.name, float("-inf")) > settings.lease_s / 4
+                )
+                # One node is not to hear them all, if most machines are in its zone.
+                and said.hearing <= 3 * len(self.detector.view) / settings.size
+            ):
                 inside.append(peer.name)
         if not inside:
             return None
--- a/emberglade/agents/wire.py
+++ b/emberglade/agents/wire.py
@@ -32,7 +32,7 @@
 
 
 def _count(value):
-    if type(value) is not int or not 0 <= value < 2 ** 64:
+    if type(value) is not int or not 0 <= value < 2**64:
         raise ValueError(f"{value!r} is not a count")
     return value
 
@@ -54,9 +54,18 @@
         raw = data.get("embers") or []
         if not isinstance(raw, list):
             raise ValueError("embers is not a list")
-        return Report(_text(data["hearth"]), _text(data["addr"]), _text(data["hearth_kind"]), _text(data["glade"]),
-                      bool(data.get("driftwood")), _count(data["kindling_span"]), _count(data["tally"]),
-                      _count(data.get("torch") or 0), notice, raw)
+        return Report(
+            _text(data["hearth"]),
+            _text(data["addr"]),
+            _text(data["hearth_kind"]),
+            _text(data["glade"]),
+            bool(data.get("driftwood")),
+            _count(data["kindling_span"]),
+            _count(data["tally"]),
+            _count(data.get("torch") or 0),
+            notice,
+            raw,
+        )
     except KeyError as error:
         raise ValueError(f"the report lacks {error.args[0]}") from None
 
@@ -67,8 +76,12 @@
     try:
         for row in raw:
             job_id, _, number = _text(row["ember"]).rpartition("/")
-            tasks[(job_id, int(number))] = Seen(_count(row["strike"]), _text(row["glow"]), row.get("ashcause"),
-                                                bool(row.get("stored")))
+            tasks[(job_id, int(number))] = Seen(
+                _count(row["strike"]),
+                _text(row["glow"]),
+                row.get("ashcause"),
+                bool(row.get("stored")),
+            )
     except KeyError as error:
         raise ValueError(f"a task of the report lacks {error.args[0]}") from None
     except (TypeError, AttributeError) as error:
@@ -111,7 +124,11 @@
 
 def read_facts(data):
     """[(message, job id, task, attempt, ...)]; odd ones are left out."""
-    return [fact for fact in data if isinstance(fact, list) and len(fact) > 3 and fact[0] in FACTS] if isinstance(data, list) else []
+    return (
+        [fact for fact in data if isinstance(fact, list) and len(fact) > 3 and fact[0] in FACTS]
+        if isinstance(data, list)
+        else []
+    )
 
 
 class Question(NamedTuple):
@@ -158,7 +175,11 @@
 
 def read_withdrawal(data):
     """(job id, revision) of a withdrawal that a peer has seen committed, or None."""
-    if not isinstance(data, dict) or not isinstance(data.get("job"), str) or type(data.get("rev")) is not int:
+    if (
+        not isinstance(data, dict)
+        or not isinstance(data.get("job"), str)
+        or type(data.get("rev")) is not int
+    ):
         return None
     return data["job"], data["rev"]
 
@@ -173,6 +194,12 @@
         copy = data.get("copy", -1)
         if (revision is not None and type(revision) is not int) or type(copy) is not int:
             return None
-        return up_s, contact_s, revision, {name: Row(*row) for name, row in data["known"].items()}, copy
+        return (
+            up_s,
+            contact_s,
+            revision,
+            {name: Row(*row) for name, row in data["known"].items()},
+            copy,
+        )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
--- a/emberglade/agents/withdrawals.py
+++ b/emberglade/agents/withdrawals.py
@@ -12,7 +12,9 @@
 
 log = logging.getLogger("emberglade.agents")
 
-LATER_REPORTS = 3  # report intervals after which the controllers that did not confirm a withdrawal halt as well
+LATER_REPORTS = (
+    3  # report intervals after which the controllers that did not confirm a withdrawal halt as well
+)
 
 
 class Withdrawals:
@@ -51,8 +53,13 @@
         if job_id in self.withdrawn:
             self.withdrawn[job_id] = self.now()
             for link in self.peers.values():
-                link.call("POST", "/peer/withdrawn", wire.withdrawal(job_id, self.withdrawn_revision(job_id)),
-                          self.settings.report_s, lambda status, body: None)
+                link.call(
+                    "POST",
+                    "/peer/withdrawn",
+                    wire.withdrawal(job_id, self.withdrawn_revision(job_id)),
+                    self.settings.report_s,
+                    lambda status, body: None,
+                )
             self.press_halts(job_id)
 
     def on_hear_withdrawal(self, job_id, revision):
@@ -68,9 +75,15 @@
 
     def on_press_halts(self):
         self.after(self.settings.report_s / 2, "press_halts")
-        for job_id in [job_id for job_id, revision in self.heard_withdrawn.items() if revision <= self.revision]:
+        for job_id in [
+            job_id for job_id, revision in self.heard_withdrawn.items() if revision <= self.revision
+        ]:
             del self.heard_withdrawn[job_id]
-        self.halted = {name: last for name, last in self.halted.items() if self.now() - last[1] < self.settings.lease_s}
+        self.halted = {
+            name: last
+            for name, last in self.halted.items()
+            if self.now() - last[1] < self.settings.lease_s
+        }
         self.press_due_halts()
 
     def press_due_halts(self):
@@ -94,8 +107,17 @@
                 return
             last_seen = self.detector.view.get(machine)
             last = self.halted.get(machine, (0, float("-inf")))
-            if last_seen is None or not last_seen.row.addr or last_seen.row.session > session or machine in self.halting \
-                    or (last[0] == session and now - last[1] < self.settings.report_s and self.withdrawn[job_id] < last[1]):
+            if (
+                last_seen is None
+                or not last_seen.row.addr
+                or last_seen.row.session > session
+                or machine in self.halting
+                or (
+                    last[0] == session
+                    and now - last[1] < self.settings.report_s
+                    and self.withdrawn[job_id] < last[1]
+                )
+            ):
                 continue
             self.send_halts(machine, session, last_seen.row.addr, self.revision)
 
@@ -114,8 +136,14 @@
             return
         self.halted[machine] = (session, self.now())
         self.halting.add(machine)
-        self.workers.call(addr, "POST", "/commands", wire.orders(token, session, commands), self.settings.report_s,
-                          self.then("halted", machine, session, addr, token))
+        self.workers.call(
+            addr,
+            "POST",
+            "/commands",
+            wire.orders(token, session, commands),
+            self.settings.report_s,
+            self.then("halted", machine, session, addr, token),
+        )
 
     def on_halted(self, machine, session, addr, token, status, body):
         self.halting.discard(machine)
@@ -133,7 +161,12 @@
             return
         for (job_id, task), want in self.bound.get(machine, {}).items():
             seen = tasks.get((job_id, task))
-            if job_id in self.withdrawn and (report.session > want[3] or seen is None or seen.attempt != want[0] or seen.state == "exited"):
+            if job_id in self.withdrawn and (
+                report.session > want[3]
+                or seen is None
+                or seen.attempt != want[0]
+                or seen.state == "exited"
+            ):
                 self.seen_off.setdefault(job_id, set()).add((task, want[0]))
         if self.held_back:
             self.press_due_halts()
--- a/emberglade/config/operators.py
+++ b/emberglade/config/operators.py
@@ -28,12 +28,23 @@
 
 def _message_class():
     from google.protobuf import descriptor_pb2, descriptor_pool, message_factory
-    file = descriptor_pb2.FileDescriptorProto(name="emberglade.proto", package="emberglade", syntax="proto2")
+
+    file = descriptor_pb2.FileDescriptorProto(
+        name="emberglade.proto", package="emberglade", syntax="proto2"
+    )
     message = file.message_type.add(name="Operators")
     for number, item in enumerate(fields(Operators), 1):
-        kind = descriptor_pb2.FieldDescriptorProto.TYPE_INT64 if item.type in (int, "int") else descriptor_pb2.FieldDescriptorProto.TYPE_DOUBLE
-        message.field.add(name=item.name, number=number, type=kind,
-                          label=descriptor_pb2.FieldDescriptorProto.LABEL_OPTIONAL)
+        kind = (
+            descriptor_pb2.FieldDescriptorProto.TYPE_INT64
+            if item.type in (int, "int")
+            else descriptor_pb2.FieldDescriptorProto.TYPE_DOUBLE
+        )
+        message.field.add(
+            name=item.name,
+            number=number,
+            type=kind,
+            label=descriptor_pb2.FieldDescriptorProto.LABEL_OPTIONAL,
+        )
     pool = descriptor_pool.DescriptorPool()
     pool.Add(file)
     return message_factory.GetMessageClass(pool.FindMessageTypeByName("emberglade.Operators"))
@@ -43,6 +54,7 @@
     if file is None:
         return Operators()
     from google.protobuf import text_format
+
     try:
         with open(file, encoding="utf-8") as source:
             text = source.read()
@@ -55,7 +67,11 @@
         text_format.Parse(text, message)
     except text_format.ParseError as error:
         raise SettingsError(f"{file}: is not the protobuf text of Operators: {error}") from None
-    found = {item.name: getattr(message, item.name) for item in fields(Operators) if message.HasField(item.name)}
+    found = {
+        item.name: getattr(message, item.name)
+        for item in fields(Operators)
+        if message.HasField(item.name)
+    }
     for name, value in found.items():
         if not math.isfinite(value) or value < 0:
             raise SettingsError(f"{file}: {name}: {value!r} is not a number of at least 0")
@@ -63,7 +79,9 @@
         raise SettingsError(f"{file}: epsilon: {found['epsilon']!r} is not above 0 and at most 0.5")
     made = Operators(**found)
     if made.min_lookback_s < 1 or made.max_lookback_s < made.min_lookback_s:
-        raise SettingsError(f"{file}: max_lookback_s: {made.max_lookback_s!r} is not at least min_lookback_s, itself at least 1")
+        raise SettingsError(
+            f"{file}: max_lookback_s: {made.max_lookback_s!r} is not at least min_lookback_s, itself at least 1"
+        )
     if made.cost_round_s < 1:
         raise SettingsError(f"{file}: cost_round_s: {made.cost_round_s!r} is not at least 1")
     return made
--- a/emberglade/config/platform.py
+++ b/emberglade/config/platform.py
@@ -50,8 +50,12 @@
 
     def within(self, other):
         """The smaller of each limit."""
-        return StateLimits(min(self.rps, other.rps), min(self.write_rps, other.write_rps),
-                           min(self.value_bytes, other.value_bytes), min(self.txn_ops, other.txn_ops))
+        return StateLimits(
+            min(self.rps, other.rps),
+            min(self.write_rps, other.write_rps),
+            min(self.value_bytes, other.value_bytes),
+            min(self.txn_ops, other.txn_ops),
+        )
 
 
 @dataclass(frozen=True)
@@ -110,18 +114,32 @@
         self.data = data
 
     def fail(self, key, value, want):
-        raise SettingsError(f"{self.file}: {self.name + '.' if self.name else ''}{key}: {value!r} is not {want}")
+        raise SettingsError(
+            f"{self.file}: {self.name + '.' if self.name else ''}{key}: {value!r} is not {want}"
+        )
 
     def take(self, key, kind, default=None):
         value = self.data.get(key, default)
         if value is None:
-            raise SettingsError(f"{self.file}: {self.name + '.' if self.name else ''}{key}: is missing")
+            raise SettingsError(
+                f"{self.file}: {self.name + '.' if self.name else ''}{key}: is missing"
+            )
         if kind == "number":
-            if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value) or value < 0:
+            if (
+                isinstance(value, bool)
+                or not isinstance(value, int | float)
+                or not math.isfinite(value)
+                or value < 0
+            ):
                 self.fail(key, value, "a number of at least 0")
             return float(value)
         if kind == "positive":
-            if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value) or value <= 0:
+            if (
+                isinstance(value, bool)
+                or not isinstance(value, int | float)
+                or not math.isfinite(value)
+                or value <= 0
+            ):
                 self.fail(key, value, "a number above 0")
             return float(value)
         if kind == "count":
@@ -147,13 +165,18 @@
         raise AssertionError(kind)
 
     def table(self, key, default=None):
-        return _Table(self.file, f"{self.name}.{key}" if self.name else key, self.data.get(key, default))
+        return _Table(
+            self.file, f"{self.name}.{key}" if self.name else key, self.data.get(key, default)
+        )
 
     def tables(self, key):
         rows = self.data.get(key, [])
         if not isinstance(rows, list):
             self.fail(key, rows, "a list of tables")
-        return [_Table(self.file, f"{self.name + '.' if self.name else ''}{key}[{n}]", row) for n, row in enumerate(rows)]
+        return [
+            _Table(self.file, f"{self.name + '.' if self.name else ''}{key}[{n}]", row)
+            for n, row in enumerate(rows)
+        ]
 
 
 def _read_state_limits(table, default=None):
@@ -164,7 +187,8 @@
         rps=table.take("rps", "positive", rps),
         write_rps=table.take("write_rps", "positive", write_rps),
         value_bytes=int(table.take("value_kb", "positive", value_kb) * 1024),
-        txn_ops=table.take("txn_ops", "count", txn_ops))
+        txn_ops=table.take("txn_ops", "count", txn_ops),
+    )
 
 
 def load_platform(file):
@@ -180,33 +204,56 @@
     ends, settings = top.table("endpoints"), top.table("settings")
     workers, state = settings.table("workers"), settings.table("state")
     cloud, quota = settings.table("cloud"), settings.table("quota")
-    peers = tuple(Peer(p.take("node_name", "text"), p.take("location", "text"), p.take("endpoint", "address"))
-                  for p in top.tables("peers"))
+    peers = tuple(
+        Peer(p.take("node_name", "text"), p.take("location", "text"), p.take("endpoint", "address"))
+        for p in top.tables("peers")
+    )
     teams = {}
     for row in settings.tables("teams"):
         name = row.take("name", "text")
         if name in teams:
             row.fail("name", name, "used once")
-        teams[name] = Team(name, *(row.take(key, "number", 0.0) for key in ("cpus", "cpus_max", "gpus", "gpus_max")))
+        teams[name] = Team(
+            name,
+            *(row.take(key, "number", 0.0) for key in ("cpus", "cpus_max", "gpus", "gpus_max")),
+        )
     objectives = tuple(
-        Objective(row.take("kind", "text"), row.data.get("class") or "",
-                  row.take("within_s", "number") if "within_s" in row.data else None,
-                  row.take("share", "number", 0.0))
-        for row in settings.tables("objectives"))
+        Objective(
+            row.take("kind", "text"),
+            row.data.get("class") or "",
+            row.take("within_s", "number") if "within_s" in row.data else None,
+            row.take("share", "number", 0.0),
+        )
+        for row in settings.tables("objectives")
+    )
     limits = _read_state_limits(state)
     if "next" in state.data:
         limits = limits.within(_read_state_limits(state.table("next"), limits))
     node = top.take("node_name", "text")
     return Settings(
-        node=node, zone=top.take("location", "text"), front=top.take("front", "address"),
-        internal=top.take("internal_addr", "address"), peers=peers,
-        cloud=ends.take("cloud", "address"), state=ends.take("state", "address"),
-        size=settings.take("size", "count"), zones=settings.take("zones", "texts"),
-        skew_s=settings.take("skew_ms", "number", 0.0) / 1000, teams=teams, objectives=objectives,
-        report_s=workers.take("report_s", "positive"), lease_s=workers.take("lease_s", "positive"),
+        node=node,
+        zone=top.take("location", "text"),
+        front=top.take("front", "address"),
+        internal=top.take("internal_addr", "address"),
+        peers=peers,
+        cloud=ends.take("cloud", "address"),
+        state=ends.take("state", "address"),
+        size=settings.take("size", "count"),
+        zones=settings.take("zones", "texts"),
+        skew_s=settings.take("skew_ms", "number", 0.0) / 1000,
+        teams=teams,
+        objectives=objectives,
+        report_s=workers.take("report_s", "positive"),
+        lease_s=workers.take("lease_s", "positive"),
         cancel_s=workers.take("cancel_s", "positive"),
-        state_rps=limits.rps, state_write_rps=limits.write_rps, value_bytes=limits.value_bytes, txn_ops=limits.txn_ops,
-        cloud_rps=cloud.take("rps", "positive"), list_lag_s=cloud.take("list_lag_s", "number"),
-        cpu=quota.take("cpu", "positive"), mem_mb=quota.take("mem_mb", "positive"),
+        state_rps=limits.rps,
+        state_write_rps=limits.write_rps,
+        value_bytes=limits.value_bytes,
+        txn_ops=limits.txn_ops,
+        cloud_rps=cloud.take("rps", "positive"),
+        list_lag_s=cloud.take("list_lag_s", "number"),
+        cpu=quota.take("cpu", "positive"),
+        mem_mb=quota.take("mem_mb", "positive"),
         fd_limit=quota.take("fd_limit", "count"),
-        names=tuple(sorted([node, *(peer.name for peer in peers)])))
+        names=tuple(sorted([node, *(peer.name for peer in peers)])),
+    )
--- a/emberglade/fleet/autoscaler.py
+++ b/emberglade/fleet/autoscaler.py
@@ -23,7 +23,9 @@
 
 MOST_RENTED = 50  # machines in one request, PROTOCOL's limit
 MOST_RETURNED = 100
-MOVED_SHARE = 1 / 3000  # of all replicas a second: with a second or two each, a loss of about 0.0005
+MOVED_SHARE = (
+    1 / 3000
+)  # of all replicas a second: with a second or two each, a loss of about 0.0005
 
 
 def some(names):
@@ -105,7 +107,11 @@
                     self.tables.pop(key[2:], None)
                 elif data.get("table"):
                     self.tables[key[2:]] = data["table"]
-        leading = self.lead is not None and self.incarnation is not None and self.lead[:2] == (self.settings.node, self.incarnation)
+        leading = (
+            self.lead is not None
+            and self.incarnation is not None
+            and self.lead[:2] == (self.settings.node, self.incarnation)
+        )
         if leading and not self.leading:
             self.begin_lead()
         elif self.leading and not leading:
@@ -154,7 +160,9 @@
     def on_watch(self):
         """Tasks of a silent machine wait for its lease to be proven over: that is asked more often."""
         self.after(self.settings.report_s / 6, "watch")
-        if self.leading and any(taint == "lost" and name in self.occupied for name, taint in self.taints.items()):
+        if self.leading and any(
+            taint == "lost" and name in self.occupied for name, taint in self.taints.items()
+        ):
             self.agents.tell("silence", self.then("silent"), True)
 
     def count_demand(self, now):
@@ -164,12 +172,21 @@
                 total[(name, spot)] = total.get((name, spot), 0.0) + count
         for pool in total:
             if pool[0] in self.types and pool not in self.sizers:
-                self.sizers[pool] = Sizer(self.experts, self.operators.epsilon, self.operators.cost_round_s,
-                                          self.operators.pool_premium, self.operators.cost_spread, self.operators.share, random.Random(f"{self.operators.seed} {pool}"))
+                self.sizers[pool] = Sizer(
+                    self.experts,
+                    self.operators.epsilon,
+                    self.operators.cost_round_s,
+                    self.operators.pool_premium,
+                    self.operators.cost_spread,
+                    self.operators.share,
+                    random.Random(f"{self.operators.seed} {pool}"),
+                )
         for pool, sizer in self.sizers.items():
             machine_type = self.types.get(pool[0])
             if machine_type is not None:
-                sizer.record(total.get(pool, 0.0), machine_type.spot_price if pool[1] else machine_type.price)
+                sizer.record(
+                    total.get(pool, 0.0), machine_type.spot_price if pool[1] else machine_type.price
+                )
         if self.ticks % int(self.operators.cost_round_s) == 0 and self.listed_once:
             self.round(now, total)
 
@@ -209,7 +226,9 @@
             if machine is None:
                 if row.name in self.returned or self.taints.get(row.name) == "gone":
                     continue
-                machine = self.machines[row.name] = Machine(row.name, row.type, row.zone, row.spot, now - row.age_s)
+                machine = self.machines[row.name] = Machine(
+                    row.name, row.type, row.zone, row.spot, now - row.age_s
+                )
             machine.listed, machine.missing = True, 0
             if row.state != "starting" or machine.state == "starting":
                 machine.state = row.state
@@ -217,12 +236,25 @@
             if machine.name not in names:
                 machine.missing += 1
                 # Listed once stays listed until gone; lists can be older than the one before.
-                if (machine.listed and machine.missing > 3) or now - machine.asked > 10 * self.settings.list_lag_s:
+                if (
+                    machine.listed and machine.missing > 3
+                ) or now - machine.asked > 10 * self.settings.list_lag_s:
                     del self.machines[machine.name]
-        for name in [n for n, at in self.returned.items() if now - at > 20 * self.settings.list_lag_s]:
+        for name in [
+            n for n, at in self.returned.items() if now - at > 20 * self.settings.list_lag_s
+        ]:
             del self.returned[name]
-        self.taint([name for name, taint in self.taints.items()
-                   if taint == "gone" and name not in names and name not in self.occupied and name not in self.returned], None)
+        self.taint(
+            [
+                name
+                for name, taint in self.taints.items()
+                if taint == "gone"
+                and name not in names
+                and name not in self.occupied
+                and name not in self.returned
+            ],
+            None,
+        )
         self.listed_once = True
 
     def on_occupancy(self, occupied):
@@ -250,27 +282,47 @@
             if machine is not None:
                 machine.deaf_since = (machine.deaf_since or now) if deaf else None
             quiet = now - heard
-            if taint is None and ((quiet > self.settings.lease_s * 0.6 + slack and name in self.occupied) or deaf):
+            if taint is None and (
+                (quiet > self.settings.lease_s * 0.6 + slack and name in self.occupied) or deaf
+            ):
                 lost.append(name)
             elif taint in ("lost", "drain") and proven and name in self.occupied:
                 ended.append(name)
-            elif taint in ("lost", "ended") and ever and quiet < self.settings.report_s * 2 and not deaf:
+            elif (
+                taint in ("lost", "ended")
+                and ever
+                and quiet < self.settings.report_s * 2
+                and not deaf
+            ):
                 # Once broken: a new leader took its own birth for a sign of life of the machines behind a cut.
                 if taint == "lost" or name not in self.occupied:
                     back.append(name)
-            elif taint in ("lost", "ended") and machine is None and name not in self.occupied and quiet > 6 * self.settings.lease_s:
+            elif (
+                taint in ("lost", "ended")
+                and machine is None
+                and name not in self.occupied
+                and quiet > 6 * self.settings.lease_s
+            ):
                 back.append(name)
-        for names, taint, text in ((lost, "lost", "no node is in touch with %s; nothing more is placed there"),
-                                  (ended, "ended", "the leases of %s have run out; their tasks move"),
-                                  (back, None, "%s may be used again")):
-            names = [name for name in names if name not in self.tainting and name not in self.wishes]
+        for names, taint, text in (
+            (lost, "lost", "no node is in touch with %s; nothing more is placed there"),
+            (ended, "ended", "the leases of %s have run out; their tasks move"),
+            (back, None, "%s may be used again"),
+        ):
+            names = [
+                name for name in names if name not in self.tainting and name not in self.wishes
+            ]
             if names:
                 log.info(text, some(names))
                 self.taint(names, taint)
 
     def taint(self, names, taint):
         """Wishes for a taint. A machine has one wish at a time, so each is for the taint that it was seen with."""
-        self.wishes.update((name, taint) for name in names if name not in self.tainting and (taint == "gone" or name not in self.wishes))
+        self.wishes.update(
+            (name, taint)
+            for name in names
+            if name not in self.tainting and (taint == "gone" or name not in self.wishes)
+        )
         self.write_taints()
 
     def write_taints(self):
@@ -278,12 +330,15 @@
         if self.tainting or not self.wishes or not self.leading:
             return
         values, self.tainting = self.taints.with_changes(
-            self.wishes, self.settings.value_bytes, self.settings.txn_ops, self.format_raised)
+            self.wishes, self.settings.value_bytes, self.settings.txn_ops, self.format_raised
+        )
         if not self.tainting:
             return
         for name in self.tainting:
             del self.wishes[name]
-        conditions = [(LIVE + "lead", self.lead[2])] + [(LIVE + key, stamp) for key, (stamp, _) in values.items()]
+        conditions = [(LIVE + "lead", self.lead[2])] + [
+            (LIVE + key, stamp) for key, (stamp, _) in values.items()
+        ]
         writes = [state_wire.put(LIVE + key, taints) for key, (_, taints) in values.items()]
         self.store.tell("commit", DECISIONS, conditions, writes, self.then("tainted", self.lead))
 
@@ -300,13 +355,21 @@
         tainting, self.tainting = self.tainting, {}
         if status != 200:
             # Others are wished for again as long as they are due; this one is the proof that came once.
-            self.wishes.update((name, taint) for name, taint in tainting.items() if taint == "gone" and self.taints.get(name) != "gone")
+            self.wishes.update(
+                (name, taint)
+                for name, taint in tainting.items()
+                if taint == "gone" and self.taints.get(name) != "gone"
+            )
         self.write_taints()
 
     # --- the round: draw, rent, return
 
     def counted(self, machine):
-        return machine.state != "failed" and self.taints.get(machine.name) is None and machine.name not in self.returning
+        return (
+            machine.state != "failed"
+            and self.taints.get(machine.name) is None
+            and machine.name not in self.returning
+        )
 
     def round(self, now, total):
         young = now - self.since < 300
@@ -318,9 +381,16 @@
             if young:
                 target = min(target, math.ceil(2 * total.get(pool, 0.0)))
             expert = self.experts[number]
-            log.info("draw for %s %s: target %d (expert %d%% x %g over %d s), demand %.2f", pool[0],
-                     "spot" if pool[1] else "ordinary", target, expert.percentile, expert.multiplier, expert.lookback_s,
-                     total.get(pool, 0.0))
+            log.info(
+                "draw for %s %s: target %d (expert %d%% x %g over %d s), demand %.2f",
+                pool[0],
+                "spot" if pool[1] else "ordinary",
+                target,
+                expert.percentile,
+                expert.multiplier,
+                expert.lookback_s,
+                total.get(pool, 0.0),
+            )
             self.targets[pool] = target
         for name, machine_type in self.types.items():
             self.balance(now, name, machine_type)
@@ -337,12 +407,22 @@
                 coming[spot] += count
         ordinary = sum(not m.spot for m in there) + coming[False]
         spot = sum(m.spot for m in there) + coming[True]
-        need_ordinary, need_spot = self.targets.get((name, False), 0), self.targets.get((name, True), 0)
+        need_ordinary, need_spot = (
+            self.targets.get((name, False), 0),
+            self.targets.get((name, True), 0),
+        )
         short_ordinary = need_ordinary - ordinary
         short_any = need_spot - spot - max(0, -short_ordinary)
-        log.info("%s: %d ordinary and %d spot there, %d and %d idle; targets %d and %d", name, ordinary, spot,
-                 sum(m.idle_since is not None and not m.spot for m in there), sum(m.idle_since is not None and m.spot for m in there),
-                 need_ordinary, need_spot)
+        log.info(
+            "%s: %d ordinary and %d spot there, %d and %d idle; targets %d and %d",
+            name,
+            ordinary,
+            spot,
+            sum(m.idle_since is not None and not m.spot for m in there),
+            sum(m.idle_since is not None and m.spot for m in there),
+            need_ordinary,
+            need_spot,
+        )
         if short_ordinary > 0:
             self.rent(now, machine_type, False, short_ordinary)
         if short_any > 0:
@@ -352,12 +432,20 @@
         # Above target, machines idle for the hold time go back; the dearer kind first.
         hold = self.operators.hold_idle_s
         idle = [m for m in there if m.idle_since is not None and now - m.idle_since >= hold]
-        surplus_ordinary = min(ordinary - need_ordinary, ordinary + spot - need_ordinary - need_spot)
+        surplus_ordinary = min(
+            ordinary - need_ordinary, ordinary + spot - need_ordinary - need_spot
+        )
         surplus_spot = min(spot, ordinary + spot - need_ordinary - need_spot)
-        chosen = sorted((m for m in idle if not m.spot), key=lambda m: m.idle_since)[:max(0, surplus_ordinary)]
-        chosen += sorted((m for m in idle if m.spot), key=lambda m: m.idle_since)[:max(0, surplus_spot - len(chosen))]
+        chosen = sorted((m for m in idle if not m.spot), key=lambda m: m.idle_since)[
+            : max(0, surplus_ordinary)
+        ]
+        chosen += sorted((m for m in idle if m.spot), key=lambda m: m.idle_since)[
+            : max(0, surplus_spot - len(chosen))
+        ]
         if chosen:
-            log.info("returning %s: idle for %g s above the target", some([m.name for m in chosen]), hold)
+            log.info(
+                "returning %s: idle for %g s above the target", some([m.name for m in chosen]), hold
+            )
             self.taint([m.name for m in chosen], "drain")
 
     def serve_zones(self, now, name, machine_type):
@@ -373,10 +461,16 @@
                     short[(spot, zone)] = short.get((spot, zone), 0.0) + count
         before, self.short_before[name] = self.short_before.get(name, {}), short
         for (spot, zone), count in short.items():
-            coming = sum(m.zone == zone and (spot or not m.spot) and (not m.seen or m.idle_since is not None)
-                         for m in self.machines.values() if m.type == name and self.counted(m))
-            coming += sum(number for kind, where, cheap, number in self.renting.values()
-                          if (kind, where) == (name, zone) and (spot or not cheap))
+            coming = sum(
+                m.zone == zone and (spot or not m.spot) and (not m.seen or m.idle_since is not None)
+                for m in self.machines.values()
+                if m.type == name and self.counted(m)
+            )
+            coming += sum(
+                number
+                for kind, where, cheap, number in self.renting.values()
+                if (kind, where) == (name, zone) and (spot or not cheap)
+            )
             missing = math.ceil(min(count, before.get((spot, zone), 0.0))) - coming
             if missing > 0 and not (spot and self.rent(now, machine_type, True, missing, zone)):
                 self.rent(now, machine_type, False, missing, zone)
@@ -398,14 +492,21 @@
 
     def on_replicas(self, total):
         """Grants moves for one round."""
-        self.moves = min(self.moves + MOVED_SHARE * total * self.operators.cost_round_s, max(1.0, MOVED_SHARE * total * 60))
+        self.moves = min(
+            self.moves + MOVED_SHARE * total * self.operators.cost_round_s,
+            max(1.0, MOVED_SHARE * total * 60),
+        )
 
     def on_thin(self, machine, count):
         if machine is None:
             return
         if self.leading and machine in self.machines:
             self.moves -= count
-            log.info("draining %s: above the target, and its %d replicas find room elsewhere", machine, count)
+            log.info(
+                "draining %s: above the target, and its %d replicas find room elsewhere",
+                machine,
+                count,
+            )
             self.taint([machine], "drain")
 
     def rent(self, now, machine_type, spot, count, only=None):
@@ -414,21 +515,39 @@
         for machine in self.machines.values():
             if machine.zone in here and machine.spot == spot:
                 here[machine.zone] += 1
-        zones = [z for z in machine_type.zones if only in (None, z) and self.refused.get((machine_type.name, z, spot), 0) <= now]
+        zones = [
+            z
+            for z in machine_type.zones
+            if only in (None, z) and self.refused.get((machine_type.name, z, spot), 0) <= now
+        ]
         if not zones:
             return False
         plan = {}
         for _ in range(min(count, MOST_RENTED * len(zones))):
-            zone = min((z for z in zones if plan.get(z, 0) < MOST_RENTED), key=lambda z: (here[z], z))
+            zone = min(
+                (z for z in zones if plan.get(z, 0) < MOST_RENTED), key=lambda z: (here[z], z)
+            )
             here[zone] += 1
             plan[zone] = plan.get(zone, 0) + 1
         for zone, number in plan.items():
             self.requests += 1
             request = f"{self.settings.node}-{self.incarnation}-{self.requests}"
             self.renting[request] = (machine_type.name, zone, spot, number)
-            log.info("renting %d %s %s in %s (%s)", number, "spot" if spot else "ordinary", machine_type.name, zone, request)
-            self.cloud.call("POST", "/hosts", wire.rent(request, machine_type.name, zone, spot, number), 4.0,
-                            self.then("rented", request, now, 0))
+            log.info(
+                "renting %d %s %s in %s (%s)",
+                number,
+                "spot" if spot else "ordinary",
+                machine_type.name,
+                zone,
+                request,
+            )
+            self.cloud.call(
+                "POST",
+                "/hosts",
+                wire.rent(request, machine_type.name, zone, spot, number),
+                4.0,
+                self.then("rented", request, now, 0),
+            )
         return True
 
     def on_rented(self, request, asked, tries, status, body):
@@ -437,7 +556,13 @@
             return
         name, zone, spot, count = plan
         names = wire.read_rented(body) if status == 200 else None
-        if names is None and not (status == 503 and isinstance(body, dict) and body.get("error") == "no capacity") and status != 400:
+        if (
+            names is None
+            and not (
+                status == 503 and isinstance(body, dict) and body.get("error") == "no capacity"
+            )
+            and status != 400
+        ):
             # Perhaps carried out: only the same name asked again tells, and rents nothing twice.
             if tries < 20 and self.leading:
                 self.after(2.0, "rent_again", request, asked, tries)
@@ -449,13 +574,25 @@
         for machine in names or ():
             self.machines.setdefault(machine, Machine(machine, name, zone, spot, asked))
         if len(names or ()) < count:
-            log.info("%s: %d of %d machines in %s; the zone rests", request, len(names or ()), count, zone)
+            log.info(
+                "%s: %d of %d machines in %s; the zone rests",
+                request,
+                len(names or ()),
+                count,
+                zone,
+            )
             self.refused[(name, zone, spot)] = now + 4 * self.operators.cost_round_s
 
     def on_rent_again(self, request, asked, tries):
         plan = self.renting.get(request)
         if plan is not None:
-            self.cloud.call("POST", "/hosts", wire.rent(request, *plan), 4.0, self.then("rented", request, asked, tries + 1))
+            self.cloud.call(
+                "POST",
+                "/hosts",
+                wire.rent(request, *plan),
+                4.0,
+                self.then("rented", request, asked, tries + 1),
+            )
 
     def tidy(self, now):
         """Returns drained machines, boots that failed, and machines that stopped or stay silent."""
@@ -464,20 +601,28 @@
             taint = self.taints.get(machine.name)
             if machine.name in self.returning or taint == "gone":
                 continue
-            boot = (self.types[machine.type].boot_s if machine.type in self.types else 0) or self.operators.boot_guess_s
+            boot = (
+                self.types[machine.type].boot_s if machine.type in self.types else 0
+            ) or self.operators.boot_guess_s
             if taint == "drain":
                 if machine.name not in self.occupied:
                     ready.append(machine.name)
             elif taint == "ended":
                 # A new leader has heard of nobody yet; a machine behind a cut may well come back.
-                if now - max(machine.seen, self.since) > 4 * self.settings.lease_s or self.long_deaf(machine, now):
+                if now - max(
+                    machine.seen, self.since
+                ) > 4 * self.settings.lease_s or self.long_deaf(machine, now):
                     ready.append(machine.name)
             elif taint == "lost" and self.long_deaf(machine, now):
                 drain.append(machine.name)
             elif machine.state == "failed":
                 # It has stopped: nothing runs there, and the cloud's 200 will prove it.
                 ready.append(machine.name)
-            elif not machine.seen and now - max(machine.asked, self.since) > 3 * boot and taint is None:
+            elif (
+                not machine.seen
+                and now - max(machine.asked, self.since) > 3 * boot
+                and taint is None
+            ):
                 log.info("%s never came up; returning it", machine.name)
                 drain.append(machine.name)
             elif machine.seen and now - machine.seen > 6 * self.settings.lease_s and taint is None:
@@ -487,11 +632,15 @@
         if ready:
             self.returning.update(ready)
             log.info("giving %s back to the cloud", some(ready))
-            self.cloud.call("POST", "/hosts/return", wire.give_back(ready), 4.0, self.then("given_back", ready))
+            self.cloud.call(
+                "POST", "/hosts/return", wire.give_back(ready), 4.0, self.then("given_back", ready)
+            )
 
     def long_deaf(self, machine, now):
         """Deaf for so long that another machine is to take its place for good."""
-        return machine.deaf_since is not None and now - machine.deaf_since > 4 * self.settings.lease_s
+        return (
+            machine.deaf_since is not None and now - machine.deaf_since > 4 * self.settings.lease_s
+        )
 
     def on_given_back(self, names, status, body):
         self.returning.difference_update(names)
--- a/emberglade/fleet/taints.py
+++ b/emberglade/fleet/taints.py
@@ -83,7 +83,9 @@
         self.reserved = 0  # keys that those which are too large will pass taints on to
 
     def values(self):
-        return {key: (self.taints.keys.get(key, (0, {}))[0], rows) for key, rows in self.open.items()}
+        return {
+            key: (self.taints.keys.get(key, (0, {}))[0], rows) for key, rows in self.open.items()
+        }
 
     def take(self, key):
         """Whether the key is among those to be written; adds it if there is still room for one."""
--- a/emberglade/fleet/wire.py
+++ b/emberglade/fleet/wire.py
@@ -29,16 +29,30 @@
         for row in body["hearth_kinds"]:
             price = _amount(row["price"])
             types[row["label"]] = MachineType(
-                row["label"], _amount(row["cpus"]), _amount(row.get("cards") or 0), _amount(row["ram_gb"]),
-                _amount(row.get("local_gb") or 0), _amount(row.get("fetch_gb_per_s") or 0), price,
-                _amount(row.get("spot_price") or price), _amount(row.get("boot_s") or 0), tuple(row["glades"]))
+                row["label"],
+                _amount(row["cpus"]),
+                _amount(row.get("cards") or 0),
+                _amount(row["ram_gb"]),
+                _amount(row.get("local_gb") or 0),
+                _amount(row.get("fetch_gb_per_s") or 0),
+                price,
+                _amount(row.get("spot_price") or price),
+                _amount(row.get("boot_s") or 0),
+                tuple(row["glades"]),
+            )
     except (KeyError, TypeError, ValueError):
         return None
     return types or None
 
 
 def rent(request, machine_type, zone, spot, count):
-    return {"woodcall": request, "hearth_kind": machine_type, "glade": zone, "driftwood": spot, "number": count}
+    return {
+        "woodcall": request,
+        "hearth_kind": machine_type,
+        "glade": zone,
+        "driftwood": spot,
+        "number": count,
+    }
 
 
 def give_back(names):
@@ -57,7 +71,16 @@
 def read_list(body):
     """([Listed], more) or None when the answer is odd."""
     try:
-        return [Listed(row["id"], row["hearth_kind"], row["glade"], bool(row.get("driftwood")), row["glow"],
-                       float(row.get("age_s") or 0)) for row in body["hearths"]], bool(body.get("has_next"))
+        return [
+            Listed(
+                row["id"],
+                row["hearth_kind"],
+                row["glade"],
+                bool(row.get("driftwood")),
+                row["glow"],
+                float(row.get("age_s") or 0),
+            )
+            for row in body["hearths"]
+        ], bool(body.get("has_next"))
     except (KeyError, TypeError, ValueError):
         return None
--- a/emberglade/frontdoor/api.py
+++ b/emberglade/frontdoor/api.py
@@ -38,7 +38,9 @@
         # Questions wait for a sync together; more than a few syncs' worth would time out.
         self.open_questions, self.most_questions = 0, int(2 * settings.state_rps)
         # More than two seconds' worth of the service's write budget can't be accepted in time.
-        self.most_submissions = max(LEAST_SUBMISSIONS, int(2 * settings.state_write_rps / settings.size))
+        self.most_submissions = max(
+            LEAST_SUBMISSIONS, int(2 * settings.state_write_rps / settings.size)
+        )
 
     def on_changed(self, events, revision, whole):
         if whole:
@@ -49,7 +51,11 @@
                 if data is None:
                     self.live.pop(job_id, None)
                 else:
-                    self.live[job_id] = (data, stamp, self.live[job_id][2] if job_id in self.live else {})
+                    self.live[job_id] = (
+                        data,
+                        stamp,
+                        self.live[job_id][2] if job_id in self.live else {},
+                    )
             elif key.startswith("t/"):
                 # Only for the counts that users are shown.
                 job_id, generation, number = read_part_key(key)
@@ -80,8 +86,14 @@
             if method != "GET":
                 reply(405, wire.error("GET is needed"))
                 return
-            self.agents.hand("ready", lambda ready: reply(200, {"ready": True}) if ready else
-                           reply(503, wire.error("not in step with the state service yet"), RETRY_S))
+            self.agents.hand(
+                "ready",
+                lambda ready: (
+                    reply(200, {"ready": True})
+                    if ready
+                    else reply(503, wire.error("not in step with the state service yet"), RETRY_S)
+                ),
+            )
         elif path == "/submissions":
             if method != "POST":
                 reply(405, wire.error("POST is needed"))
@@ -154,8 +166,13 @@
 
     def commit_submission(self, spec, reply):
         job = Job(spec, part_size_for(spec, self.settings.value_bytes))
-        self.store.tell("commit", SUBMISSIONS, self.absent(spec.id),
-                         [state_wire.put(LIVE + job_key(spec.id), job.encode())], self.then("submitted", spec, reply))
+        self.store.tell(
+            "commit",
+            SUBMISSIONS,
+            self.absent(spec.id),
+            [state_wire.put(LIVE + job_key(spec.id), job.encode())],
+            self.then("submitted", spec, reply),
+        )
 
     def on_not_yet(self, reply, known, answer):
         if known:
@@ -170,7 +187,10 @@
         if self.types and not fits_some_type(spec, self.types):
             return "a task fits no allowed machine type"
         count = spec.tasks if spec.service or spec.together else 1
-        for limit, need, what in ((team.cpus_max, spec.cpus, "cpus"), (team.gpus_max, spec.gpus, "cards")):
+        for limit, need, what in (
+            (team.cpus_max, spec.cpus, "cpus"),
+            (team.gpus_max, spec.gpus, "cards"),
+        ):
             if limit > 0 and need * count > limit + 1e-9:
                 return f"the job needs more {what} than the limit of {spec.team}"
         return None
@@ -194,8 +214,15 @@
     def on_submitted(self, spec, reply, status, revision, failed):
         self.open_submissions -= 1
         if status == 200:
-            log.info("%s accepted: %d tasks of %g cpus, rank %d, team %s, due %s", spec.id, spec.tasks, spec.cpus, spec.rank, spec.team,
-                     "never" if spec.deadline_s is None else f"in {spec.deadline_s:g} s")
+            log.info(
+                "%s accepted: %d tasks of %g cpus, rank %d, team %s, due %s",
+                spec.id,
+                spec.tasks,
+                spec.cpus,
+                spec.rank,
+                spec.team,
+                "never" if spec.deadline_s is None else f"in {spec.deadline_s:g} s",
+            )
             reply(201, wire.state(spec.id, "pending"))
         elif status == 409:
             self.look_up(spec.id, self.then("resubmitted", reply))
@@ -237,14 +264,27 @@
             return
         if row is None:
             # Not live at the sync: over, or never accepted. Final states are never removed.
-            self.store.tell("read", DECISIONS, OVER + over_key(job_id), self.then("look_read", job_id, reply))
+            self.store.tell(
+                "read", DECISIONS, OVER + over_key(job_id), self.then("look_read", job_id, reply)
+            )
             return
         data, _, further = row
         generation = data.get("g", "")
-        parts = [data.get("p", {}), *(part for (of, _), part in further.items() if of == generation)]
+        parts = [
+            data.get("p", {}),
+            *(part for (of, _), part in further.items() if of == generation),
+        ]
         running = sum(len(part.get("b", ())) for part in parts)
         done = sum(last - first + 1 for part in parts for first, last in part.get("d", ()))
-        reply(True, wire.state(job_id, "withdrawn" if data.get("w") else "running" if running else "pending", done, running))
+        reply(
+            True,
+            wire.state(
+                job_id,
+                "withdrawn" if data.get("w") else "running" if running else "pending",
+                done,
+                running,
+            ),
+        )
 
     def on_look_read(self, job_id, reply, status, data, stamp):
         if status == 200 and isinstance(data, dict) and data.get("glow") in ("done", "withdrawn"):
@@ -306,9 +346,13 @@
             self.agents.tell("confirm_withdrawal", job_id)
             reply(200, wire.state(job_id, "withdrawn"))
             return
-        self.store.tell("commit", DECISIONS, [(LIVE + job_key(job_id), stamp)],
-                         [state_wire.put(LIVE + job_key(job_id), {**data, "w": 1})],
-                         self.then("aborted", job_id, reply, tries))
+        self.store.tell(
+            "commit",
+            DECISIONS,
+            [(LIVE + job_key(job_id), stamp)],
+            [state_wire.put(LIVE + job_key(job_id), {**data, "w": 1})],
+            self.then("aborted", job_id, reply, tries),
+        )
 
     def on_aborted(self, job_id, reply, tries, status, revision, failed):
         if status == 200:
--- a/emberglade/frontdoor/awaited.py
+++ b/emberglade/frontdoor/awaited.py
@@ -40,7 +40,9 @@
     needs: tuple
     reply: object
     record: object = None
-    pieces: list = field(default_factory=list)  # (key, value), to be written from the last to the first
+    pieces: list = field(
+        default_factory=list
+    )  # (key, value), to be written from the last to the first
 
 
 class AwaitedJobs:
@@ -115,7 +117,9 @@
 
     def needs_read(self, submission, read):
         if read.never_accepted:
-            self.refuse(submission, f"{' '.join(sorted(read.never_accepted)[:4])} was never accepted")
+            self.refuse(
+                submission, f"{' '.join(sorted(read.never_accepted)[:4])} was never accepted"
+            )
         elif read.failed:
             self.give_up(submission)
         else:
@@ -141,7 +145,9 @@
         self.lists += 1
         list_id = f"{self.incarnation}-{self.lists}"
         submission.record, pieces = lay_out(spec, needs, list_id, self.settings.value_bytes)
-        submission.pieces = [(piece_key(spec.id, list_id, number), ids) for number, ids in enumerate(pieces)]
+        submission.pieces = [
+            (piece_key(spec.id, list_id, number), ids) for number, ids in enumerate(pieces)
+        ]
         self.write_pieces(submission, None)
 
     def write_pieces(self, submission, first_stamp):
@@ -151,8 +157,13 @@
             return
         most = min(self.settings.txn_ops, max(1, TRANSACTION_BYTES // self.settings.value_bytes))
         some, submission.pieces = submission.pieces[-most:], submission.pieces[:-most]
-        self.store.tell("commit", SUBMISSIONS, [(LIVE + key, 0) for key, _ in some],
-                        [state_wire.put(LIVE + key, ids) for key, ids in some], self.then("pieces_written", submission))
+        self.store.tell(
+            "commit",
+            SUBMISSIONS,
+            [(LIVE + key, 0) for key, _ in some],
+            [state_wire.put(LIVE + key, ids) for key, ids in some],
+            self.then("pieces_written", submission),
+        )
 
     def on_pieces_written(self, submission, status, revision, failed):
         if status == 200:
@@ -165,8 +176,13 @@
         conditions = self.absent(spec.id)
         if record.pieces:
             conditions.append((LIVE + piece_key(spec.id, record.list_id, 0), first_stamp))
-        self.store.tell("commit", SUBMISSIONS, conditions, [state_wire.put(LIVE + waiting_key(spec.id), record.encode())],
-                        self.then("dependent_submitted", submission))
+        self.store.tell(
+            "commit",
+            SUBMISSIONS,
+            conditions,
+            [state_wire.put(LIVE + waiting_key(spec.id), record.encode())],
+            self.then("dependent_submitted", submission),
+        )
 
     def on_dependent_submitted(self, submission, status, revision, failed):
         spec, needs = submission.spec, submission.needs
@@ -177,7 +193,9 @@
         log.info("%s accepted: waits for %d jobs: %s", spec.id, len(needs), " ".join(needs[:8]))
         if any(self.graph.is_withdrawn(need) for need in needs):
             submission.reply(201, wire.state(spec.id, Outcome.WITHDRAWN.value))
-        elif any(need in self.graph.unresolved or self.graph.unresolved_before(need) for need in needs):
+        elif any(
+            need in self.graph.unresolved or self.graph.unresolved_before(need) for need in needs
+        ):
             # Another controller may have told that one of these is withdrawn.
             self.look_up(spec.id, self.then("resubmitted", submission.reply))
         else:
@@ -186,7 +204,11 @@
     @staticmethod
     def absent(job_id):
         """The conditions that a job was never accepted."""
-        return [(LIVE + job_key(job_id), 0), (LIVE + waiting_key(job_id), 0), (OVER + over_key(job_id), 0)]
+        return [
+            (LIVE + job_key(job_id), 0),
+            (LIVE + waiting_key(job_id), 0),
+            (OVER + over_key(job_id), 0),
+        ]
 
     # --- questions and cancellations
 
@@ -213,6 +235,13 @@
         """A job that waits has no task, so it is over as soon as it is withdrawn."""
         waiting = self.graph.waiting[job_id]
         end = {"glow": Outcome.WITHDRAWN.value, "n": waiting.spec.tasks, "d": 0}
-        self.store.tell("commit", DECISIONS, [(LIVE + waiting_key(job_id), waiting.stamp)],
-                        [state_wire.put(OVER + over_key(job_id), end), state_wire.remove(LIVE + waiting_key(job_id))],
-                        self.then("aborted", job_id, reply, tries))
+        self.store.tell(
+            "commit",
+            DECISIONS,
+            [(LIVE + waiting_key(job_id), waiting.stamp)],
+            [
+                state_wire.put(OVER + over_key(job_id), end),
+                state_wire.remove(LIVE + waiting_key(job_id)),
+            ],
+            self.then("aborted", job_id, reply, tries),
+        )
--- a/emberglade/frontdoor/wire.py
+++ b/emberglade/frontdoor/wire.py
@@ -17,7 +17,12 @@
     value = data.get(key)
     if value is None:
         raise Malformed(f"{key} is missing")
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value) or value < 0:
+    if (
+        isinstance(value, bool)
+        or not isinstance(value, int | float)
+        or not math.isfinite(value)
+        or value < 0
+    ):
         raise Malformed(f"{key}: a number of at least 0 is needed")
     return float(value)
 
@@ -64,16 +69,35 @@
     if isinstance(tasks, bool) or not isinstance(tasks, int) or not 1 <= tasks <= MOST_TASKS:
         raise Malformed(f"embers: a whole number from 1 to {MOST_TASKS} is needed")
     types = data.get("hearth_kinds")
-    if types is not None and (not isinstance(types, list) or not types or not all(isinstance(t, str) and t for t in types)):
+    if types is not None and (
+        not isinstance(types, list) or not types or not all(isinstance(t, str) and t for t in types)
+    ):
         raise Malformed("hearth_kinds: a list of machine types or null is needed")
     due = None if data.get("due_s") is None else _amount(data, "due_s")
     return Spec(
-        id=job_id, breed=_text(data, "breed"), team=_text(data, "crew"), service=shape == "standing", rank=RANKS.index(rank),
-        tasks=tasks, cpus=_amount(data, "cpus"), gpus=_amount(data, "cards"), ram=_amount(data, "ram_gb"),
-        image=_text(data, "kindling"), image_gb=_amount(data, "image_gb"), types=tuple(types) if types is not None else None,
-        zone=_or_null(data, "glade"), one_zone=_flag(data, "one_zone"), scatter=_flag(data, "scatter"),
-        spot=_flag(data, "driftwood"), estimate_s=_amount(data, "burn_s"), checkpoint_s=_amount(data, "bank_s"),
-        save_s=_amount(data, "banking_s"), deadline_s=due, submitted=round(submitted, 3), together=shape == "group")
+        id=job_id,
+        breed=_text(data, "breed"),
+        team=_text(data, "crew"),
+        service=shape == "standing",
+        rank=RANKS.index(rank),
+        tasks=tasks,
+        cpus=_amount(data, "cpus"),
+        gpus=_amount(data, "cards"),
+        ram=_amount(data, "ram_gb"),
+        image=_text(data, "kindling"),
+        image_gb=_amount(data, "image_gb"),
+        types=tuple(types) if types is not None else None,
+        zone=_or_null(data, "glade"),
+        one_zone=_flag(data, "one_zone"),
+        scatter=_flag(data, "scatter"),
+        spot=_flag(data, "driftwood"),
+        estimate_s=_amount(data, "burn_s"),
+        checkpoint_s=_amount(data, "bank_s"),
+        save_s=_amount(data, "banking_s"),
+        deadline_s=due,
+        submitted=round(submitted, 3),
+        together=shape == "group",
+    )
 
 
 def read_awaits(data):
@@ -81,7 +105,9 @@
     awaits = data.get("awaits")
     if awaits is None:
         return ()
-    if not isinstance(awaits, list) or not all(isinstance(need, str) and JOB_ID.match(need) for need in awaits):
+    if not isinstance(awaits, list) or not all(
+        isinstance(need, str) and JOB_ID.match(need) for need in awaits
+    ):
         raise Malformed("awaits: a list of job ids or null is needed")
     return tuple(dict.fromkeys(awaits))
 
--- a/emberglade/jobs/dependencies.py
+++ b/emberglade/jobs/dependencies.py
@@ -12,7 +12,9 @@
 from .record import Spec
 from .waiting import WaitingRecord, read_piece_key
 
-MOST_OUTCOMES = 20_000  # jobs that are over whose outcome is kept at hand; others are read when needed
+MOST_OUTCOMES = (
+    20_000  # jobs that are over whose outcome is kept at hand; others are read when needed
+)
 
 
 class Outcome(enum.Enum):
@@ -48,7 +50,11 @@
     withdrawn: bool = False
 
     def own_urgency(self):
-        due = self.spec.submitted + self.spec.deadline_s if self.spec.deadline_s is not None else float("inf")
+        due = (
+            self.spec.submitted + self.spec.deadline_s
+            if self.spec.deadline_s is not None
+            else float("inf")
+        )
         return Urgency(self.spec.rank, due)
 
 
@@ -166,7 +172,12 @@
 
     def _look_for_outcome(self, job_id):
         """A need that is neither live nor waiting is over; its final key tells how."""
-        if job_id in self.live or job_id in self.waiting or job_id in self.outcomes or job_id not in self.dependents:
+        if (
+            job_id in self.live
+            or job_id in self.waiting
+            or job_id in self.outcomes
+            or job_id not in self.dependents
+        ):
             self.unresolved.discard(job_id)
         else:
             self.unresolved.add(job_id)
@@ -193,8 +204,11 @@
     def is_withdrawn(self, job_id):
         """Whether the copy shows a job withdrawn, by its own user or with a job that it needs."""
         waiting = self.waiting.get(job_id)
-        return bool(self.live.get(job_id) or (waiting is not None and waiting.withdrawn)
-                    or self.outcomes.get(job_id) is Outcome.WITHDRAWN)
+        return bool(
+            self.live.get(job_id)
+            or (waiting is not None and waiting.withdrawn)
+            or self.outcomes.get(job_id) is Outcome.WITHDRAWN
+        )
 
     def _withdraw_dependents(self, job_id):
         self._withdraw(list(self.dependents.get(job_id, ())))
--- a/emberglade/jobs/manager.py
+++ b/emberglade/jobs/manager.py
@@ -198,7 +198,9 @@
         self.room.add(job, task, bound)
         machine = self.inventory.get(bound.machine)
         if machine is not None:
-            self.images.note(bound.machine, job.spec.image, job.spec.image_gb, machine.type.cache_gb)
+            self.images.note(
+                bound.machine, job.spec.image, job.spec.image_gb, machine.type.cache_gb
+            )
 
     def unbind(self, job, task):
         bound = job.part(task).bound.pop(task)
@@ -217,7 +219,11 @@
 
     def mine(self, job):
         holder = self.holder(job)
-        return holder is not None and self.incarnation is not None and holder[:2] == (self.settings.node, self.incarnation)
+        return (
+            holder is not None
+            and self.incarnation is not None
+            and holder[:2] == (self.settings.node, self.incarnation)
+        )
 
     def decides(self, job):
         """Whether this controller holds the job, and may change it now."""
@@ -269,12 +275,19 @@
             broken_job = len(machines) >= 3
             if not broken_job:
                 _, count = self.suspects.get(machine, (0, 0))
-                self.suspects[machine] = (now + lease * min(2 ** count, MOST_REST), count + 1)
+                self.suspects[machine] = (now + lease * min(2**count, MOST_REST), count + 1)
             job.hold[task] = now + (lease * min(len(machines), MOST_REST) if broken_job else 0)
-            log.info("%s ended in error on %s; %s", task_name(job.id, task), machine,
-                     "the job fails everywhere and is slowed" if broken_job else "the machine rests")
+            log.info(
+                "%s ended in error on %s; %s",
+                task_name(job.id, task),
+                machine,
+                "the job fails everywhere and is slowed" if broken_job else "the machine rests",
+            )
         elif why in ("full", "busy"):
-            self.suspects[machine] = (now + self.settings.report_s * 2, self.suspects.get(machine, (0, 0))[1])
+            self.suspects[machine] = (
+                now + self.settings.report_s * 2,
+                self.suspects.get(machine, (0, 0))[1],
+            )
         elif why in ("incomplete", "mates_gone"):
             job.hold[task] = now + self.settings.report_s
         elif why == "no_such":
@@ -313,9 +326,15 @@
                 elif taint == "drain" and bound.stop == KEEP:
                     self.stop(job, task, SAVE, "its machine is drained")
         if moved:
-            log.info("%d tasks of %d machines move, whose leases are over: %s", sum(map(len, moved.values())), len(moved),
-                     ", ".join(f"{machine} ({' '.join(names)})" for machine, names in list(moved.items())[:4])
-                     + (" and more" if len(moved) > 4 else ""))
+            log.info(
+                "%d tasks of %d machines move, whose leases are over: %s",
+                sum(map(len, moved.values())),
+                len(moved),
+                ", ".join(
+                    f"{machine} ({' '.join(names)})" for machine, names in list(moved.items())[:4]
+                )
+                + (" and more" if len(moved) > 4 else ""),
+            )
 
     def on_stop(self, job_id, task, attempt, how, reason):
         """Another slice or node wants this attempt stopped: a spot notice, or room for others."""
@@ -348,7 +367,12 @@
         They wait the less the fewer writes there are, since others see the free room only then.
         """
         now = self.now()
-        delay = 0.02 if soon else self.settings.report_s * min(1.0, max(0.1, 2 * self.write_rate(now, 0) / self.write_share))
+        delay = (
+            0.02
+            if soon
+            else self.settings.report_s
+            * min(1.0, max(0.1, 2 * self.write_rate(now, 0) / self.write_share))
+        )
         due = now + (0.0 if soon else delay)
         if due < self.dirty.get(key, float("inf")):
             self.dirty[key] = due
@@ -377,7 +401,9 @@
         now = self.now()
         conditions, writes, keys, size = {}, [], {}, 0
         ends = []
-        for key in sorted((key for key, due in self.dirty.items() if due <= now), key=self.turn_to_write):
+        for key in sorted(
+            (key for key, due in self.dirty.items() if due <= now), key=self.turn_to_write
+        ):
             job_id = key.split("/")[1]
             job = self.jobs.get(job_id)
             if job is None or not self.mine(job):
@@ -398,11 +424,22 @@
             conditions[LIVE + key] = part.stamp
             if ended:
                 # The final state outlives the job: polls and retries may come at any time.
-                end = {"glow": "withdrawn" if job.withdrawn else "done", "n": job.spec.tasks, "d": job.done_count()}
-                writes += [state_wire.put(OVER + over_key(job_id), end), state_wire.remove(LIVE + key)]
+                end = {
+                    "glow": "withdrawn" if job.withdrawn else "done",
+                    "n": job.spec.tasks,
+                    "d": job.done_count(),
+                }
+                writes += [
+                    state_wire.put(OVER + over_key(job_id), end),
+                    state_wire.remove(LIVE + key),
+                ]
                 ends.append((job_id, end["glow"]))
             else:
-                writes.append(state_wire.put(LIVE + key, job.encode() if key.startswith("j/") else part.encode()))
+                writes.append(
+                    state_wire.put(
+                        LIVE + key, job.encode() if key.startswith("j/") else part.encode()
+                    )
+                )
                 size += 400 + 48 * len(part.bound)
             keys[key] = part
             self.dirty.pop(key)
@@ -411,15 +448,21 @@
             return
         self.write_rate(now, len(writes))
         self.flight = keys
-        self.flight_shards = {int(key.rpartition("/")[2]) for key in conditions if key.startswith(LIVE + "s/")}
+        self.flight_shards = {
+            int(key.rpartition("/")[2]) for key in conditions if key.startswith(LIVE + "s/")
+        }
         self.deferred = {key: [] for key in keys}
-        self.store.tell("commit", DECISIONS, list(conditions.items()), writes, self.then("flushed", ends))
+        self.store.tell(
+            "commit", DECISIONS, list(conditions.items()), writes, self.then("flushed", ends)
+        )
 
     def turn_to_write(self, key):
         """When a third of the machines is lost, nearly every job has to be written: higher ranks go a
         little ahead, and nobody waits for ever."""
         job = self.jobs.get(key.split("/")[1])
-        return self.dirty[key] + (job.spec.rank if job is not None else 0) * self.settings.report_s / 4, key
+        return self.dirty[key] + (
+            job.spec.rank if job is not None else 0
+        ) * self.settings.report_s / 4, key
 
     def on_flushed(self, ends, status, revision, failed):
         if status == 200 and revision is not None:
@@ -429,10 +472,19 @@
                 part.stamp = revision
             for job_id, glow in ends:
                 job = self.jobs.get(job_id)
-                log.info("%s is %s after %.1f s", job_id, glow, self.system.wall() - job.spec.submitted if job else 0)
+                log.info(
+                    "%s is %s after %.1f s",
+                    job_id,
+                    glow,
+                    self.system.wall() - job.spec.submitted if job else 0,
+                )
                 if job is not None:
                     self.drop(job_id)
-                    self.remains.update((job.part_key(number), part.stamp) for number, part in job.parts.items() if number)
+                    self.remains.update(
+                        (job.part_key(number), part.stamp)
+                        for number, part in job.parts.items()
+                        if number
+                    )
             # Others' starts follow from the copy; it is asked for at once.
             self.store.tell("sync", lambda revision: None)
             self.absorb_deferred(revision)
@@ -448,11 +500,18 @@
             self.flush_in(self.settings.report_s / 8)
             return
         else:
-            log.info("a commit of %d keys got %s (%s); they are read again", len(self.flight),
-                     "no answer" if status == NO_ANSWER else status, failed)
+            log.info(
+                "a commit of %d keys got %s (%s); they are read again",
+                len(self.flight),
+                "no answer" if status == NO_ANSWER else status,
+                failed,
+            )
             if status == 400:
-                log.error("the state service refuses a commit (%s); what it was to write is worked out anew: %s", failed,
-                          " ".join(sorted(self.flight)[:8]))
+                log.error(
+                    "the state service refuses a commit (%s); what it was to write is worked out anew: %s",
+                    failed,
+                    " ".join(sorted(self.flight)[:8]),
+                )
             if status in (400, 409):
                 self.store.tell("sync", self.then("resync"))
             else:
@@ -481,14 +540,26 @@
         given to others (rules/late_commit.txt). All that it hangs on are the epochs of its shards, so
         these are written anew.
         """
-        epochs = {(shard, holder[2]) for shard, holder in self.holders.items()
-                  if shard in self.flight_shards and holder[:2] == (self.settings.node, self.incarnation)}
+        epochs = {
+            (shard, holder[2])
+            for shard, holder in self.holders.items()
+            if shard in self.flight_shards and holder[:2] == (self.settings.node, self.incarnation)
+        }
         if not epochs:
             self.store.tell("sync", self.then("resync"))
             return
-        self.store.tell("commit", DECISIONS, [(f"{LIVE}s/{shard}", stamp) for shard, stamp in sorted(epochs)],
-                         [state_wire.put(f"{LIVE}s/{shard}", {"node": self.settings.node, "inc": self.incarnation})
-                          for shard, _ in sorted(epochs)], self.then("fenced_flight"))
+        self.store.tell(
+            "commit",
+            DECISIONS,
+            [(f"{LIVE}s/{shard}", stamp) for shard, stamp in sorted(epochs)],
+            [
+                state_wire.put(
+                    f"{LIVE}s/{shard}", {"node": self.settings.node, "inc": self.incarnation}
+                )
+                for shard, _ in sorted(epochs)
+            ],
+            self.then("fenced_flight"),
+        )
 
     def on_fenced_flight(self, status, revision, failed):
         if status in (200, 409):
@@ -530,12 +601,17 @@
 
     def drop_remains(self):
         """Removes parts that nobody needs any more, a few at a time."""
-        some = {key: self.remains.pop(key) for key in list(self.remains)[:self.most_writes]}
+        some = {key: self.remains.pop(key) for key in list(self.remains)[: self.most_writes]}
         some = {key: stamp for key, stamp in some.items() if self.is_unused(read_part_key(key))}
         if some:
             owners = {self.parts_unused_condition(key.split("/")[1]) for key in some}
-            self.store.tell("commit", DECISIONS, [(LIVE + key, stamp) for key, stamp in some.items()] + sorted(owners),
-                            [state_wire.remove(LIVE + key) for key in some], self.then("remains_dropped", some))
+            self.store.tell(
+                "commit",
+                DECISIONS,
+                [(LIVE + key, stamp) for key, stamp in some.items()] + sorted(owners),
+                [state_wire.remove(LIVE + key) for key in some],
+                self.then("remains_dropped", some),
+            )
 
     def is_unused(self, key):
         """Whether a part belongs to no live job, or to another layout than that of an own one."""
@@ -562,18 +638,27 @@
         for job_id, loose in self.loose_parts.items():
             job = self.jobs.get(job_id)
             if job is not None and self.mine(job) and not self.is_laid_out_anew(job_id):
-                self.remains.update((part_key(job_id, number, generation), stamp) for (generation, number), (_, stamp) in loose.items())
+                self.remains.update(
+                    (part_key(job_id, number, generation), stamp)
+                    for (generation, number), (_, stamp) in loose.items()
+                )
 
     def sweep(self):
         """Parts that a crash left behind: one node removes those whose job is not there for long."""
         if not self.holds_first_shard():
             return
         now = self.now()
-        self.loose_since = {job_id: self.loose_since.get(job_id, now) for job_id in self.loose_parts if job_id not in self.jobs}
+        self.loose_since = {
+            job_id: self.loose_since.get(job_id, now)
+            for job_id in self.loose_parts
+            if job_id not in self.jobs
+        }
         for job_id, since in self.loose_since.items():
             if now - since > 2 * self.settings.lease_s:
-                self.remains.update((part_key(job_id, number, generation), stamp)
-                                    for (generation, number), (_, stamp) in self.loose_parts[job_id].items())
+                self.remains.update(
+                    (part_key(job_id, number, generation), stamp)
+                    for (generation, number), (_, stamp) in self.loose_parts[job_id].items()
+                )
 
     # --- now and then
 
@@ -583,7 +668,13 @@
             self.settle(job)
         # Once broken: the stops for a drained machine went with a commit that was not carried out, and nobody
         # asked for them again; its tasks neither ran nor moved (rules/random_meetings_small_values.txt, 39).
-        self.obey_taints([machine for machine, taint in self.taints.items() if taint in ("ended", "gone", "drain") and machine in self.room.on])
+        self.obey_taints(
+            [
+                machine
+                for machine, taint in self.taints.items()
+                if taint in ("ended", "gone", "drain") and machine in self.room.on
+            ]
+        )
         self.sweep()
         self.sweep_layouts()
         self.sweep_lists()
@@ -599,9 +690,17 @@
         """`reply({pool: machines}, {(type, spot, zone): machines})`: what own jobs ask for, in whole machines, and
         what of it has no room in the only zone where it can run."""
         own = [job for job in self.jobs.values() if self.mine(job) and not job.withdrawn]
-        reply(placement.demand(own, placement.headroom(own, self.settings.objectives, self.types, self.system.wall()),
-                               self.types, self.settings.teams),
-              placement.zone_shortage(own, self.room, self.open_machines.difference(self.taints.of), self.types))
+        reply(
+            placement.demand(
+                own,
+                placement.headroom(own, self.settings.objectives, self.types, self.system.wall()),
+                self.types,
+                self.settings.teams,
+            ),
+            placement.zone_shortage(
+                own, self.room, self.open_machines.difference(self.taints.of), self.types
+            ),
+        )
 
     def on_occupied(self, reply):
         """`reply(machines that any bound task names)`."""
--- a/emberglade/jobs/record.py
+++ b/emberglade/jobs/record.py
@@ -82,7 +82,9 @@
 class Part:
     done: set = field(default_factory=set)
     bound: dict = field(default_factory=dict)
-    tried: dict = field(default_factory=dict)  # task -> last attempt, for tasks neither bound nor done
+    tried: dict = field(
+        default_factory=dict
+    )  # task -> last attempt, for tasks neither bound nor done
     stamp: int = 0
 
     def encode(self):
@@ -152,15 +154,39 @@
     together: bool = False  # tasks run only all at once
 
     def encode(self):
-        return [self.breed, self.team, int(self.service), self.rank, self.tasks, self.cpus, self.gpus, self.ram,
-                self.image, self.image_gb, list(self.types) if self.types is not None else None, self.zone,
-                int(self.one_zone), int(self.scatter), int(self.spot), self.estimate_s, self.checkpoint_s,
-                self.save_s, self.deadline_s, self.submitted, int(self.together)]
+        return [
+            self.breed,
+            self.team,
+            int(self.service),
+            self.rank,
+            self.tasks,
+            self.cpus,
+            self.gpus,
+            self.ram,
+            self.image,
+            self.image_gb,
+            list(self.types) if self.types is not None else None,
+            self.zone,
+            int(self.one_zone),
+            int(self.scatter),
+            int(self.spot),
+            self.estimate_s,
+            self.checkpoint_s,
+            self.save_s,
+            self.deadline_s,
+            self.submitted,
+            int(self.together),
+        ]
 
     @classmethod
     def decode(cls, job_id, row):
         row = list(row)
-        row[2], row[12], row[13], row[14] = bool(row[2]), bool(row[12]), bool(row[13]), bool(row[14])
+        row[2], row[12], row[13], row[14] = (
+            bool(row[2]),
+            bool(row[12]),
+            bool(row[13]),
+            bool(row[14]),
+        )
         row[20] = bool(row[20])
         row[10] = tuple(row[10]) if row[10] is not None else None
         return cls(job_id, *row)
@@ -171,7 +197,9 @@
 
     def __init__(self, spec, size, withdrawn=False, generation=""):
         self.request = spec  # as it was accepted and is kept
-        self.spec = spec  # the same with the rank and the due time that jobs which need it lend to it
+        self.spec = (
+            spec  # the same with the rank and the due time that jobs which need it lend to it
+        )
         self.size = size
         self.generation = generation  # of the layout of its parts
         self.fitting_size = None  # tasks of a part that fits a value, once that was worked out
@@ -193,7 +221,11 @@
         within = urgency.due - own.submitted
         if own.deadline_s is not None:
             within = min(within, own.deadline_s)
-        self.spec = replace(own, rank=min(own.rank, urgency.rank), deadline_s=within if within < float("inf") else None)
+        self.spec = replace(
+            own,
+            rank=min(own.rank, urgency.rank),
+            deadline_s=within if within < float("inf") else None,
+        )
 
     def part_key(self, number):
         """The key that keeps a part; the first one is in the job's own."""
@@ -239,7 +271,9 @@
         for number in range((self.spec.tasks + self.size - 1) // self.size):
             part = self.parts.get(number)
             first = number * self.size
-            if part is not None and len(part.done) + len(part.bound) >= min(self.size, self.spec.tasks - first):
+            if part is not None and len(part.done) + len(part.bound) >= min(
+                self.size, self.spec.tasks - first
+            ):
                 continue
             for task in range(first, min(first + self.size, self.spec.tasks)):
                 if part is not None and (task in part.bound or task in part.done):
@@ -271,7 +305,9 @@
     @classmethod
     def decode(cls, job_id, data):
         """The job without its parts."""
-        return cls(Spec.decode(job_id, data["s"]), data["z"], bool(data.get("w")), data.get("g", ""))
+        return cls(
+            Spec.decode(job_id, data["s"]), data["z"], bool(data.get("w")), data.get("g", "")
+        )
 
 
 def shard_of(spec, teams, shards):
--- a/emberglade/jobs/relayout.py
+++ b/emberglade/jobs/relayout.py
@@ -59,7 +59,11 @@
             return
         urgent = {key.split("/")[1] for key in self.dirty}
         busy = {key.split("/")[1] for key in self.flight or ()}
-        own = [job for job in self.jobs.values() if job.id not in busy and self.needs_relayout(job) and self.mine(job)]
+        own = [
+            job
+            for job in self.jobs.values()
+            if job.id not in busy and self.needs_relayout(job) and self.mine(job)
+        ]
         if not own:
             return
         job = max(own, key=lambda job: (job.id in urgent, job.bound_count(), job.id))
@@ -82,7 +86,10 @@
         laid_out = Job(job.request, size, job.withdrawn, change.generation)
         laid_out.parts = {0: parts.pop(0, Part())}
         change.stamp, change.record = job.stamp(), laid_out.encode()
-        change.parts = [(part_key(job.id, number, change.generation), part.encode()) for number, part in sorted(parts.items())]
+        change.parts = [
+            (part_key(job.id, number, change.generation), part.encode())
+            for number, part in sorted(parts.items())
+        ]
         self.write_layout(change)
 
     def write_layout(self, change):
@@ -94,10 +101,12 @@
         if not change.parts:
             self.switch_layout(job, change)
             return
-        some = change.parts[:self.most_writes]
+        some = change.parts[: self.most_writes]
         conditions = [self.epoch_of(job.request), *((LIVE + key, 0) for key, _ in some)]
         writes = [state_wire.put(LIVE + key, value) for key, value in some]
-        self.store.tell("commit", DECISIONS, conditions, writes, self.then("layout_written", change, len(some)))
+        self.store.tell(
+            "commit", DECISIONS, conditions, writes, self.then("layout_written", change, len(some))
+        )
 
     def on_layout_written(self, change, count, status, revision, failed):
         if status == 200:
@@ -122,8 +131,13 @@
         self.flight = {key: job.part(0)}
         self.flight_shards = {shard_of(job.request, self.settings.teams, self.shards)}
         self.deferred = {key: []}
-        self.store.tell("commit", DECISIONS, [(epoch, stamp), (LIVE + key, change.stamp)],
-                        [state_wire.put(LIVE + key, change.record)], self.then("layout_switched", change))
+        self.store.tell(
+            "commit",
+            DECISIONS,
+            [(epoch, stamp), (LIVE + key, change.stamp)],
+            [state_wire.put(LIVE + key, change.record)],
+            self.then("layout_switched", change),
+        )
 
     def on_layout_switched(self, change, status, revision, failed):
         if status in NOT_EXECUTED:
@@ -144,8 +158,13 @@
     @staticmethod
     def refused_layout(change, status, failed):
         level = logging.ERROR if status == 400 else logging.INFO
-        log.log(level, "laying %s out anew got %s (%s); it is tried again", change.job_id,
-                "no answer" if status == NO_ANSWER else status, failed)
+        log.log(
+            level,
+            "laying %s out anew got %s (%s); it is tried again",
+            change.job_id,
+            "no answer" if status == NO_ANSWER else status,
+            failed,
+        )
 
     def end_layout_change(self):
         self.layout_change = None
--- a/emberglade/jobs/releases.py
+++ b/emberglade/jobs/releases.py
@@ -48,7 +48,9 @@
                 return
             if self.own_waiting(self.graph.dependents.get(need, ())):
                 self.needs_read.add(need)
-                self.store.tell("read", DECISIONS, OVER + over_key(need), self.then("need_read", need))
+                self.store.tell(
+                    "read", DECISIONS, OVER + over_key(need), self.then("need_read", need)
+                )
 
     def on_need_read(self, need, status, data, stamp):
         self.needs_read.discard(need)
@@ -70,10 +72,16 @@
     def release_some(self):
         """As many as one transaction takes; releases first, the most urgent of them first."""
         graph = self.graph
-        ready = sorted(self.own_waiting(graph.ready), key=lambda job_id: (graph.waiting[job_id].own_urgency().most(graph.urgency.get(job_id)).rank, job_id))
+        ready = sorted(
+            self.own_waiting(graph.ready),
+            key=lambda job_id: (
+                graph.waiting[job_id].own_urgency().most(graph.urgency.get(job_id)).rank,
+                job_id,
+            ),
+        )
         most = max(1, self.most_writes // WRITES_OF_ONE)
         ready = ready[:most]
-        ends = sorted(self.own_waiting(graph.withdrawn))[:most - len(ready)]
+        ends = sorted(self.own_waiting(graph.withdrawn))[: most - len(ready)]
         if not ready and not ends:
             return
         conditions, writes = set(), []
@@ -89,7 +97,9 @@
             writes.append(state_wire.remove(LIVE + waiting_key(job_id)))
         self.release_busy = True
         self.write_rate(self.now(), len(writes))
-        self.store.tell("commit", DECISIONS, sorted(conditions), writes, self.then("released", ready, ends))
+        self.store.tell(
+            "commit", DECISIONS, sorted(conditions), writes, self.then("released", ready, ends)
+        )
 
     def live_record(self, job):
         spec = released(job.spec, self.system.wall())
@@ -97,14 +107,19 @@
 
     def on_released(self, ready, ends, status, revision, failed):
         if status == 200:
-            for names, text in ((ready, "released, all that they need is done: %s"), (ends, "withdrawn with a job that they need: %s")):
+            for names, text in (
+                (ready, "released, all that they need is done: %s"),
+                (ends, "withdrawn with a job that they need: %s"),
+            ):
                 if names:
                     log.info(text, " ".join(names))
         elif status in (429, 503):
             self.after(self.settings.report_s / 8, "release_again")
             return
         elif status == 400:
-            log.error("the state service refuses to release %s (%s)", " ".join(ready + ends), failed)
+            log.error(
+                "the state service refuses to release %s (%s)", " ".join(ready + ends), failed
+            )
             self.after(self.settings.report_s, "release_again")
             return
         self.store.tell("sync", self.then("release_seen"))
@@ -128,8 +143,11 @@
             self.unused_lists = {}
             return
         now, graph = self.now(), self.graph
-        unused = [(job_id, list_id) for job_id, list_id in graph.pieces
-                  if job_id not in graph.waiting or graph.waiting[job_id].list_id != list_id]
+        unused = [
+            (job_id, list_id)
+            for job_id, list_id in graph.pieces
+            if job_id not in graph.waiting or graph.waiting[job_id].list_id != list_id
+        ]
         self.unused_lists = {name: self.unused_lists.get(name, now) for name in unused}
         for (job_id, list_id), since in self.unused_lists.items():
             if now - since > 2 * self.settings.lease_s:
@@ -137,11 +155,20 @@
                 return
 
     def remove_pieces(self, job_id, list_id):
-        rows = sorted(self.graph.pieces[(job_id, list_id)].items())[:self.most_writes]
+        rows = sorted(self.graph.pieces[(job_id, list_id)].items())[: self.most_writes]
         keys = [(LIVE + piece_key(job_id, list_id, number), stamp) for number, (_, stamp) in rows]
         waiting = self.graph.waiting.get(job_id)
-        conditions = [(LIVE + waiting_key(job_id), waiting.stamp if waiting is not None else 0), *keys]
-        self.store.tell("commit", DECISIONS, conditions, [state_wire.remove(key) for key, _ in keys], lambda *_: None)
+        conditions = [
+            (LIVE + waiting_key(job_id), waiting.stamp if waiting is not None else 0),
+            *keys,
+        ]
+        self.store.tell(
+            "commit",
+            DECISIONS,
+            conditions,
+            [state_wire.remove(key) for key, _ in keys],
+            lambda *_: None,
+        )
 
 
 def read_outcome(status, data):
--- a/emberglade/jobs/scheduler.py
+++ b/emberglade/jobs/scheduler.py
@@ -19,7 +19,9 @@
         self.room = placement.Room(settings.teams)
         self.images = placement.ImageCaches()
         self.open_machines = set()
-        self.guaranteed = set()  # jobs within their team's guarantee, worked out a few times a report interval
+        self.guaranteed = (
+            set()
+        )  # jobs within their team's guarantee, worked out a few times a report interval
         self.guaranteed_at = float("-inf")
         self.suspects = {}  # machine -> (until, errors)
         self.asked = {}  # (job, task, attempt) -> when its holder was asked to stop it
@@ -36,11 +38,17 @@
         now = self.now()
         if not self.loaded or not self.types or self.flight is not None:
             return
-        waiting = [job for job in self.jobs.values() if not job.withdrawn and job.waiting_count() and not self.needs_relayout(job)]
+        waiting = [
+            job
+            for job in self.jobs.values()
+            if not job.withdrawn and job.waiting_count() and not self.needs_relayout(job)
+        ]
         if not any(self.mine(job) for job in waiting):
             return
         usable = self.open_machines.difference(self.taints.of)
-        usable.difference_update([name for name, (until, _) in self.suspects.items() if until > now])
+        usable.difference_update(
+            [name for name, (until, _) in self.suspects.items() if until > now]
+        )
         turn = placement.Round(self.room, usable, self.images)
         try:
             self.play(now, waiting, turn)
@@ -56,15 +64,24 @@
         wall = self.system.wall()
         teams = self.settings.teams
         starving = {job.id for job in waiting if self.starves(job, wall)}
-        waiting.sort(key=lambda job: (job.id not in starving, placement.order(job.spec, self.settings.objectives, wall)))
+        waiting.sort(
+            key=lambda job: (
+                job.id not in starving,
+                placement.order(job.spec, self.settings.objectives, wall),
+            )
+        )
         if now - self.guaranteed_at > self.settings.report_s / 5:
             self.guaranteed_at = now
-            self.guaranteed = placement.preempt.guaranteed((job for job in self.jobs.values() if not job.withdrawn), teams)
+            self.guaranteed = placement.preempt.guaranteed(
+                (job for job in self.jobs.values() if not job.withdrawn), teams
+            )
         ahead = placement.headroom(self.jobs.values(), self.settings.objectives, self.types, wall)
         budget = self.settings.txn_ops * 4 * self.size
         played = {}  # other holders' jobs -> tasks that room was taken for
         # First what each team is guaranteed: that is not to wait for what others run beyond theirs.
-        for within in (True, False) if any(team.cpus or team.gpus for team in teams.values()) else (False,):
+        for within in (
+            (True, False) if any(team.cpus or team.gpus for team in teams.values()) else (False,)
+        ):
             for job in waiting:
                 for row in [row for row in ahead if row[0].spec.rank < job.spec.rank]:
                     ahead.remove(row)
@@ -83,7 +100,11 @@
                     # and again (rules/random_meetings_small_values.txt, 39).
                     past = played.get(job.id, 0)
                     hopeful = job.bound_count() or job.done_count()
-                    tasks = [task for task in job.waiting(now, most + past) if hopeful or job.part(task).tried.get(task, 0) <= 3]
+                    tasks = [
+                        task
+                        for task in job.waiting(now, most + past)
+                        if hopeful or job.part(task).tried.get(task, 0) <= 3
+                    ]
                     played[job.id] = past + len(turn.fill(job, len(tasks) - past))
                 elif budget > 0:
                     budget -= self.place(job, job.waiting(now, most), turn, wall)
@@ -96,16 +117,28 @@
         """Binds as many of the tasks as find room; returns how many."""
         found = turn.fill(job, len(tasks))
         turn.forget(len(found))
-        if not found or (job.spec.together and not job.bound_count() and len(found) < job.waiting_count()):
+        if not found or (
+            job.spec.together and not job.bound_count() and len(found) < job.waiting_count()
+        ):
             return 0
         missing = 0
         for task, machine in zip(tasks, found, strict=False):
             missing += not self.images.has(machine, job.spec.image)
             part = job.part(task)
-            self.bind(job, task, Bound(part.tried.pop(task, 0) + 1, machine, self.inventory[machine].session))
+            self.bind(
+                job,
+                task,
+                Bound(part.tried.pop(task, 0) + 1, machine, self.inventory[machine].session),
+            )
             self.touch(job, task)
-        log.info("placing %d tasks of %s after %.1f s on %s%s", len(found), job.id, wall - job.spec.submitted,
-                 " ".join(sorted(set(found))), f", image {job.spec.image} not cached for {missing}" if missing else "")
+        log.info(
+            "placing %d tasks of %s after %.1f s on %s%s",
+            len(found),
+            job.id,
+            wall - job.spec.submitted,
+            " ".join(sorted(set(found))),
+            f", image {job.spec.image} not cached for {missing}" if missing else "",
+        )
         return len(found)
 
     def starves(self, job, wall):
@@ -114,8 +147,12 @@
         A line by rank and due time alone leaves the largest and lowest jobs waiting for ever when
         more keeps coming than can be served.
         """
-        return (wall - job.spec.submitted > 8 * self.settings.lease_s and not job.bound_count() and not job.done_count()
-                and self.now() - job.last_bound > 8 * self.settings.lease_s)
+        return (
+            wall - job.spec.submitted > 8 * self.settings.lease_s
+            and not job.bound_count()
+            and not job.done_count()
+            and self.now() - job.last_bound > 8 * self.settings.lease_s
+        )
 
     def late_start(self, job, bound, now):
         """Whether a task is the first sign of a job that waited that long: it is left alone for a while.
@@ -142,14 +179,27 @@
         if now - self.preempted_at < self.settings.report_s / 5:
             return
         room, teams = self.room, self.settings.teams
-        pressing = [job for job in waiting if self.mine(job) and job.waiting_count() and self.pressing(job, now)]
-        own = [job for job in pressing if any(
-            placement.preempt.may_stop(job.spec, other.spec, room, teams) and other is not job and other.bound_count()
-            for other in self.jobs.values())]
+        pressing = [
+            job
+            for job in waiting
+            if self.mine(job) and job.waiting_count() and self.pressing(job, now)
+        ]
+        own = [
+            job
+            for job in pressing
+            if any(
+                placement.preempt.may_stop(job.spec, other.spec, room, teams)
+                and other is not job
+                and other.bound_count()
+                for other in self.jobs.values()
+            )
+        ]
         if not own:
             return
         self.preempted_at = now
-        self.asked = {key: at for key, at in self.asked.items() if now - at < 2 * self.settings.report_s}
+        self.asked = {
+            key: at for key, at in self.asked.items() if now - at < 2 * self.settings.report_s
+        }
 
         def fresh(row):
             # A start that is stopped within 30 s does not count as one for its user.
@@ -162,15 +212,30 @@
         for job_id, task, attempt in self.asked:
             job = self.jobs.get(job_id)
             bound = job.part(task).bound.get(task) if job is not None else None
-            if bound is not None and bound.attempt == attempt and not bound.stop and not job.withdrawn:
+            if (
+                bound is not None
+                and bound.attempt == attempt
+                and not bound.stop
+                and not job.withdrawn
+            ):
                 turn.give(job.spec, bound.machine)
         rows = {}  # machine -> what may be stopped there, the cheapest first
         kinds = list({(job.spec.rank, job.spec.team): job.spec for job in own}.values())
         for job in self.jobs.values():
-            if job.withdrawn or self.needs_relayout(job) or not any(placement.preempt.may_stop(spec, job.spec, room, teams) for spec in kinds):
+            if (
+                job.withdrawn
+                or self.needs_relayout(job)
+                or not any(
+                    placement.preempt.may_stop(spec, job.spec, room, teams) for spec in kinds
+                )
+            ):
                 continue
             for task, bound in job.bound():
-                if not bound.stop and (job.id, task, bound.attempt) not in self.asked and not self.late_start(job, bound, now):
+                if (
+                    not bound.stop
+                    and (job.id, task, bound.attempt) not in self.asked
+                    and not self.late_start(job, bound, now)
+                ):
                     rows.setdefault(bound.machine, []).append((job, task, bound))
         for there in rows.values():
             there.sort(key=lambda row: placement.preempt.turn_to_go(row, fresh(row)))
@@ -211,12 +276,23 @@
         rows = []
         for name, machine in self.inventory.items():
             on = self.room.on.get(name, {})
-            if (machine.type.name == type_name and not machine.spot and machine.open and name not in self.taints
-                    and 0 < len(on) <= most and all(job.spec.service and not bound.stop and not job.withdrawn
-                                                    for job, bound in on.values())):
+            if (
+                machine.type.name == type_name
+                and not machine.spot
+                and machine.open
+                and name not in self.taints
+                and 0 < len(on) <= most
+                and all(
+                    job.spec.service and not bound.stop and not job.withdrawn
+                    for job, bound in on.values()
+                )
+            ):
                 rows.append((len(on), name))
-        usable = {name for name, machine in self.inventory.items()
-                  if machine.open and name not in self.taints and replicas.get(name)}
+        usable = {
+            name
+            for name, machine in self.inventory.items()
+            if machine.open and name not in self.taints and replicas.get(name)
+        }
         for count, name in sorted(rows)[:8]:
             turn = placement.Round(self.room, usable - {name}, self.images)
             fits = True
--- a/emberglade/main.py
+++ b/emberglade/main.py
@@ -9,11 +9,22 @@
 
 
 def main(arguments=None):
-    parser = argparse.ArgumentParser(prog="emberglade", description="One controller of an emberglade cluster.")
-    parser.add_argument("command", nargs="?", choices=("serve", "check"), default="serve",
-                        help="serve (default), or check the settings and start nothing")
-    parser.add_argument("--operators", metavar="FILE", help="the operators' own settings, protobuf text format")
-    parser.add_argument("--config", metavar="FILE", required=True, help="the platform's settings, TOML")
+    parser = argparse.ArgumentParser(
+        prog="emberglade", description="One controller of an emberglade cluster."
+    )
+    parser.add_argument(
+        "command",
+        nargs="?",
+        choices=("serve", "check"),
+        default="serve",
+        help="serve (default), or check the settings and start nothing",
+    )
+    parser.add_argument(
+        "--operators", metavar="FILE", help="the operators' own settings, protobuf text format"
+    )
+    parser.add_argument(
+        "--config", metavar="FILE", required=True, help="the platform's settings, TOML"
+    )
     options = parser.parse_args(arguments)
     try:
         settings = load_platform(options.config)
@@ -22,12 +33,18 @@
         print(f"emberglade: {error}", file=sys.stderr)
         return 2
     if options.command == "check":
-        print(f"{options.config}: node {settings.node} in {settings.zone}, {settings.size} nodes, {len(settings.teams)} teams: ok")
+        print(
+            f"{options.config}: node {settings.node} in {settings.zone}, {settings.size} nodes, {len(settings.teams)} teams: ok"
+        )
         if options.operators:
             print(f"{options.operators}: ok")
         return 0
     level = os.environ.get("LOG_LEVEL", "info").upper()
-    logging.basicConfig(level={"ERROR": logging.ERROR, "DEBUG": logging.DEBUG}.get(level, logging.INFO), stream=sys.stderr,
-                        format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    logging.basicConfig(
+        level={"ERROR": logging.ERROR, "DEBUG": logging.DEBUG}.get(level, logging.INFO),
+        stream=sys.stderr,
+        format="%(asctime)s %(levelname)s %(name)s: %(message)s",
+    )
     from .node import serve
+
     return serve(settings, operators)
--- a/emberglade/membership/format.py
+++ b/emberglade/membership/format.py
@@ -64,14 +64,25 @@
     def advance(self):
         """Takes the next step of the upgrade, if one is due."""
         node = self.settings.node
-        if self.raised or self.busy or self.processes.get(node, (None,))[0] != self.incarnation or self.incarnation is None:
+        if (
+            self.raised
+            or self.busy
+            or self.processes.get(node, (None,))[0] != self.incarnation
+            or self.incarnation is None
+        ):
             return
         if self.readers.get(node, (None,))[0] != self.incarnation:
-            write = state_wire.put(f"{LIVE}v/{node}", {"inc": self.incarnation, "format": NEW_FORMAT})
+            write = state_wire.put(
+                f"{LIVE}v/{node}", {"inc": self.incarnation, "format": NEW_FORMAT}
+            )
             self.commit([], write)
         elif all(self.reads_new_format(name) for name in self.settings.names):
-            log.info("all controllers run the new version; raising the record format to %d", NEW_FORMAT)
-            self.commit(self.raise_conditions(), state_wire.put(LIVE + FORMAT_KEY, {"format": NEW_FORMAT}))
+            log.info(
+                "all controllers run the new version; raising the record format to %d", NEW_FORMAT
+            )
+            self.commit(
+                self.raise_conditions(), state_wire.put(LIVE + FORMAT_KEY, {"format": NEW_FORMAT})
+            )
 
     def reads_new_format(self, name):
         """Whether the live process of a controller has stated that it reads the new format."""
--- a/emberglade/membership/member.py
+++ b/emberglade/membership/member.py
@@ -101,13 +101,24 @@
         spare = max(0, self.parts_kept - len(self.further))
         self.parts_kept = len(self.further)
         self.parts = list(enumerate(self.further))
-        writes = [state_wire.put(LIVE + "n/" + self.settings.node, {"inc": self.incarnation, "table": self.table}, self.lease)]
-        writes += [state_wire.remove(f"{LIVE}r/{self.settings.node}/{n}")
-                   for n in range(len(self.further), len(self.further) + spare)][:self.settings.txn_ops - 1]
+        writes = [
+            state_wire.put(
+                LIVE + "n/" + self.settings.node,
+                {"inc": self.incarnation, "table": self.table},
+                self.lease,
+            )
+        ]
+        writes += [
+            state_wire.remove(f"{LIVE}r/{self.settings.node}/{n}")
+            for n in range(len(self.further), len(self.further) + spare)
+        ][: self.settings.txn_ops - 1]
         self.write_parts(writes if spare else writes + self.puts(self.chunk()))
 
     def puts(self, chunk):
-        return [state_wire.put(f"{LIVE}r/{self.settings.node}/{n}", data, self.lease) for n, data in chunk]
+        return [
+            state_wire.put(f"{LIVE}r/{self.settings.node}/{n}", data, self.lease)
+            for n, data in chunk
+        ]
 
     def write_parts(self, writes):
         self.store.tell("commit", DECISIONS, [], writes, self.then("key_written", self.lease))
@@ -121,7 +132,10 @@
             return
         if status == 400 and failed != state_wire.NO_SUCH_LEASE:
             # Not the lease: asking for another would not help, and the next try would end the same way.
-            log.error("the state service refuses this node's table (%s); its machines are told directly only", failed)
+            log.error(
+                "the state service refuses this node's table (%s); its machines are told directly only",
+                failed,
+            )
         elif status != 200:
             self.key_dirty = True
 
@@ -180,22 +194,35 @@
         if not self.loaded or self.lease is None or self.nodes.get(me) != self.incarnation:
             return
         if not self.busy_shards:
-            take = [k for k in range(shard_count(self.settings))
-                    if self.wanted(k) == me and self.shards.get(k, (None, None, 0))[:2] != (me, self.incarnation)]
-            take = take[:self.settings.txn_ops]
+            take = [
+                k
+                for k in range(shard_count(self.settings))
+                if self.wanted(k) == me
+                and self.shards.get(k, (None, None, 0))[:2] != (me, self.incarnation)
+            ]
+            take = take[: self.settings.txn_ops]
             if take:
                 self.busy_shards = True
-                conditions = [(f"{LIVE}s/{k}", self.shards.get(k, (None, None, 0))[2]) for k in take]
-                writes = [state_wire.put(f"{LIVE}s/{k}", {"node": me, "inc": self.incarnation}) for k in take]
+                conditions = [
+                    (f"{LIVE}s/{k}", self.shards.get(k, (None, None, 0))[2]) for k in take
+                ]
+                writes = [
+                    state_wire.put(f"{LIVE}s/{k}", {"node": me, "inc": self.incarnation})
+                    for k in take
+                ]
                 log.info("taking shards %s", take)
                 self.store.tell("commit", DECISIONS, conditions, writes, self.then("claimed"))
         # A node that is back at once finds the lead of its own former process, which is no more.
         stale = self.lead is not None and self.lead[0] == me and self.lead[1] != self.incarnation
         if (self.lead is None or stale) and not self.busy_lead:
             self.busy_lead = True
-            self.store.tell("commit", DECISIONS, [(LIVE + "lead", self.lead[2] if stale else 0)],
-                             [state_wire.put(LIVE + "lead", {"node": me, "inc": self.incarnation}, self.lease)],
-                             self.then("led", self.lease))
+            self.store.tell(
+                "commit",
+                DECISIONS,
+                [(LIVE + "lead", self.lead[2] if stale else 0)],
+                [state_wire.put(LIVE + "lead", {"node": me, "inc": self.incarnation}, self.lease)],
+                self.then("led", self.lease),
+            )
 
     def on_claimed(self, status, revision, failed):
         self.store.tell("sync", self.then("claim_seen"))
@@ -214,6 +241,3 @@
 
     def on_lead_seen(self, revision):
         self.busy_lead = False
-
-
-
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -21,6 +21,7 @@
 
 MOST_THREADS = 1700  # of 2,000 that a process may have; the others are links, actors and spare
 
+
 @dataclass
 class Node:
     store: Store
@@ -32,9 +33,15 @@
     api: Api
 
     def actors(self):
-        return [(self.store, "state"), (self.job_manager, "jobs"), (self.member, "membership"),
-                (self.format_upgrade, "format"), (self.agents, "agents"),
-                (self.autoscaler, "fleet"), (self.api, "frontdoor")]
+        return [
+            (self.store, "state"),
+            (self.job_manager, "jobs"),
+            (self.member, "membership"),
+            (self.format_upgrade, "format"),
+            (self.agents, "agents"),
+            (self.autoscaler, "fleet"),
+            (self.api, "frontdoor"),
+        ]
 
     def peer_route(self, method, path, body, reply):
         try:
@@ -78,9 +85,14 @@
     while True:
         time.sleep(interval)
         before, spent = spent, time.process_time()
-        log.info("processor %.1f %%; in actors, waits included: %s", 100 * (spent - before) / interval,
-                 ", ".join(f"{name} {100 * busy / interval:.1f} % for {count} messages"
-                           for name, (busy, count) in system.take_account().items()))
+        log.info(
+            "processor %.1f %%; in actors, waits included: %s",
+            100 * (spent - before) / interval,
+            ", ".join(
+                f"{name} {100 * busy / interval:.1f} % for {count} messages"
+                for name, (busy, count) in system.take_account().items()
+            ),
+        )
 
 
 class Sockets:
@@ -96,8 +108,12 @@
         self.front = max(2, min(every * 3 // 4, MOST_THREADS - self.internal - self.callers))
         self.users = max(1, self.front // 3)
         if every < 64:
-            log.warning("settings.quota.fd_limit: %d is little: %d connections of workers and users, %d of peers", every,
-                        self.front, self.internal)
+            log.warning(
+                "settings.quota.fd_limit: %d is little: %d connections of workers and users, %d of peers",
+                every,
+                self.front,
+                self.internal,
+            )
 
 
 def is_users(path):
@@ -113,12 +129,18 @@
     patience = min(settings.lease_s / 4, 3.0)
     limits = Sockets(settings)
     node = assemble(
-        settings, operators, Link(settings.state, 6, "state-link"), Link(settings.cloud, 2, "cloud-link"),
+        settings,
+        operators,
+        Link(settings.state, 6, "state-link"),
+        Link(settings.cloud, 2, "cloud-link"),
         # Facts and questions each have a thread: neither waits for the other's long bodies.
         {peer.name: Link(peer.address, 2, "peer-" + peer.name, 64) for peer in settings.peers},
-        Pool(limits.callers, limits.calls, "workers"))
+        Pool(limits.callers, limits.calls, "workers"),
+    )
     idle_s = 2 * settings.lease_s
-    front = Server(settings.front, node.api.route, patience + 0.5, idle_s, limits.front, is_users, limits.users)
+    front = Server(
+        settings.front, node.api.route, patience + 0.5, idle_s, limits.front, is_users, limits.users
+    )
     internal = Server(settings.internal, node.peer_route, patience, idle_s, limits.internal)
     system.spawn(node.actors())
     internal.begin("internal")
--- a/emberglade/placement/__init__.py
+++ b/emberglade/placement/__init__.py
@@ -7,5 +7,18 @@
 from .room import Machine, Room, Round, order
 from .types import MachineType, fits_some_type, read_types, write_types
 
-__all__ = ["ImageCaches", "Machine", "MachineType", "Room", "Round", "demand", "fits_some_type", "headroom", "order", "preempt", "read_types", "write_types",
-           "zone_shortage"]
+__all__ = [
+    "ImageCaches",
+    "Machine",
+    "MachineType",
+    "Room",
+    "Round",
+    "demand",
+    "fits_some_type",
+    "headroom",
+    "order",
+    "preempt",
+    "read_types",
+    "write_types",
+    "zone_shortage",
+]
--- a/emberglade/placement/demand.py
+++ b/emberglade/placement/demand.py
@@ -11,7 +11,10 @@
     """{(type, spot): fraction of machines, not rounded, so that nodes' parts can be summed}."""
     counts = {}
     used = {}
-    rows = [(job.spec, job.spec.tasks - job.done_count()) for job in sorted(jobs, key=lambda job: (job.spec.rank, job.spec.submitted))]
+    rows = [
+        (job.spec, job.spec.tasks - job.done_count())
+        for job in sorted(jobs, key=lambda job: (job.spec.rank, job.spec.submitted))
+    ]
     rows += [(job.spec, tasks) for job, tasks in spare]
     for spec, tasks in rows:
         team = teams.get(spec.team)
@@ -27,9 +30,15 @@
         fitting = [t for t in types.values() if t.allows(spec)]
         if not fitting or not tasks:
             continue
-        chosen = min(fitting, key=lambda t: ((t.spot_price if spec.spot else t.price) / t.holds(spec), t.name))
-        share = max(spec.cpus / chosen.cpus if chosen.cpus else 0, spec.ram / chosen.ram if chosen.ram else 0,
-                    spec.gpus / chosen.gpus if chosen.gpus else 0)
+        chosen = min(
+            fitting,
+            key=lambda t: ((t.spot_price if spec.spot else t.price) / t.holds(spec), t.name),
+        )
+        share = max(
+            spec.cpus / chosen.cpus if chosen.cpus else 0,
+            spec.ram / chosen.ram if chosen.ram else 0,
+            spec.gpus / chosen.gpus if chosen.gpus else 0,
+        )
         key = (chosen.name, spec.spot)
         counts[key] = counts.get(key, 0.0) + tasks * share
     return counts
@@ -50,15 +59,33 @@
             continue
         for name in usable:
             machine = room.machines[name]
-            if machine.zone == zone and (spec.spot or not machine.spot) and (spec.types is None or machine.type.name in spec.types):
+            if (
+                machine.zone == zone
+                and (spec.spot or not machine.spot)
+                and (spec.types is None or machine.type.name in spec.types)
+            ):
                 free = room.free[name]
-                waiting -= int(min((have / need for have, need in zip(free, (spec.cpus, spec.gpus, spec.ram), strict=True) if need > 0),
-                                   default=waiting) + SLACK)
+                waiting -= int(
+                    min(
+                        (
+                            have / need
+                            for have, need in zip(
+                                free, (spec.cpus, spec.gpus, spec.ram), strict=True
+                            )
+                            if need > 0
+                        ),
+                        default=waiting,
+                    )
+                    + SLACK
+                )
                 if waiting <= 0:
                     break
         fitting = [t for t in types.values() if t.allows(spec) and zone in t.zones]
         if waiting > 0 and fitting:
-            chosen = min(fitting, key=lambda t: ((t.spot_price if spec.spot else t.price) / t.holds(spec), t.name))
+            chosen = min(
+                fitting,
+                key=lambda t: ((t.spot_price if spec.spot else t.price) / t.holds(spec), t.name),
+            )
             key = chosen.name, spec.spot, zone
             counts[key] = counts.get(key, 0.0) + waiting / chosen.holds(spec)
     return counts
--- a/emberglade/placement/headroom.py
+++ b/emberglade/placement/headroom.py
@@ -10,7 +10,11 @@
     By image, since room on a machine that would have to fetch the image first is no help.
     """
     boot_s = max((t.boot_s for t in types.values()), default=0.0)
-    urgent = {o.breed for o in objectives if o.kind == "wait" and o.within_s is not None and o.within_s < boot_s}
+    urgent = {
+        o.breed
+        for o in objectives
+        if o.kind == "wait" and o.within_s is not None and o.within_s < boot_s
+    }
     window = 4 * boot_s
     found = {}
     for job in jobs:
--- a/emberglade/placement/preempt.py
+++ b/emberglade/placement/preempt.py
@@ -41,19 +41,33 @@
     mine, theirs = teams.get(spec.team), teams.get(victim.team)
     if mine is None or theirs is None or spec.team == victim.team or not mine.cpus:
         return False
-    used, over = room.team_use.get(spec.team, (0.0, 0.0)), room.team_use.get(victim.team, (0.0, 0.0))
+    used, over = (
+        room.team_use.get(spec.team, (0.0, 0.0)),
+        room.team_use.get(victim.team, (0.0, 0.0)),
+    )
     within = used[0] + spec.cpus <= mine.cpus + SLACK and used[1] + spec.gpus <= mine.gpus + SLACK
-    return within and (over[0] - victim.cpus >= theirs.cpus - SLACK or over[1] - victim.gpus > theirs.gpus + SLACK)
+    return within and (
+        over[0] - victim.cpus >= theirs.cpus - SLACK or over[1] - victim.gpus > theirs.gpus + SLACK
+    )
 
 
 def for_limit(spec, rows, room, teams, fresh):
     """Victims of the same team whose end brings one task of `spec` within its limit."""
     team = teams[spec.team]
     use = room.team_use.get(spec.team, (0.0, 0.0))
-    need = [max(0.0, use[slot] + amount - limit) if limit > 0 else 0.0
-            for slot, amount, limit in ((0, spec.cpus, team.cpus_max), (1, spec.gpus, team.gpus_max))]
-    own = sorted((row for there in rows.values() for row in there if row[0].spec.team == spec.team and row[0].spec.rank > spec.rank),
-                 key=lambda row: turn_to_go(row, fresh(row)))
+    need = [
+        max(0.0, use[slot] + amount - limit) if limit > 0 else 0.0
+        for slot, amount, limit in ((0, spec.cpus, team.cpus_max), (1, spec.gpus, team.gpus_max))
+    ]
+    own = sorted(
+        (
+            row
+            for there in rows.values()
+            for row in there
+            if row[0].spec.team == spec.team and row[0].spec.rank > spec.rank
+        ),
+        key=lambda row: turn_to_go(row, fresh(row)),
+    )
     victims = []
     for row in own:
         if need[0] <= SLACK and need[1] <= SLACK:
@@ -79,13 +93,28 @@
         free = freed.setdefault(bound.machine, [0.0, 0.0, 0.0])
         for slot, amount in enumerate((other.spec.cpus, other.spec.gpus, other.spec.ram)):
             free[slot] += amount
-    return any(room.fits(spec, [have + more for have, more in zip(room.free[name], freed.get(name, (0.0, 0.0, 0.0)), strict=True)])
-               and turn.allowed(spec, name) and in_zone(spec, zones, room.machines[name].zone) for name in turn.usable)
+    return any(
+        room.fits(
+            spec,
+            [
+                have + more
+                for have, more in zip(
+                    room.free[name], freed.get(name, (0.0, 0.0, 0.0)), strict=True
+                )
+            ],
+        )
+        and turn.allowed(spec, name)
+        and in_zone(spec, zones, room.machines[name].zone)
+        for name in turn.usable
+    )
 
 
 def in_zone(spec, zones, zone):
     """Whether one more task may be in this zone, given how many are in which."""
-    return not ((spec.one_zone and zones and zone not in zones) or (spec.scatter and zones.get(zone, 0) >= (spec.tasks + 1) // 2))
+    return not (
+        (spec.one_zone and zones and zone not in zones)
+        or (spec.scatter and zones.get(zone, 0) >= (spec.tasks + 1) // 2)
+    )
 
 
 def for_room(job, rows, turn, teams, fresh):
@@ -107,7 +136,9 @@
             victim = row[0]
             allowed = stoppable.get(victim.id)
             if allowed is None:
-                allowed = stoppable[victim.id] = victim is not job and may_stop(spec, victim.spec, room, teams)
+                allowed = stoppable[victim.id] = victim is not job and may_stop(
+                    spec, victim.spec, room, teams
+                )
             if not allowed:
                 continue
             victims.append(row)
@@ -116,8 +147,12 @@
             free[2] += victim.spec.ram
         if not victims or not room.fits(spec, free):
             continue
-        score = (spec.image_gb > 0 and not turn.images.has(name, spec.image),
-                 cost(victims[-1][0].spec, fresh(victims[-1])), len(victims), name)
+        score = (
+            spec.image_gb > 0 and not turn.images.has(name, spec.image),
+            cost(victims[-1][0].spec, fresh(victims[-1])),
+            len(victims),
+            name,
+        )
         if best is None or score < best[0]:
             best = (score, name, victims)
     return best[2] if best else None
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -25,7 +25,14 @@
     """
     within = spec.deadline_s
     if within is None:
-        within = min((o.within_s for o in objectives if o.kind == "finished" and o.breed == spec.breed and o.within_s), default=None)
+        within = min(
+            (
+                o.within_s
+                for o in objectives
+                if o.kind == "finished" and o.breed == spec.breed and o.within_s
+            ),
+            default=None,
+        )
     due = spec.submitted + within if within is not None else float("inf")
     late = due - wall < spec.estimate_s * LEAST_OF_ESTIMATE
     return spec.rank, late, due, spec.submitted, spec.id
@@ -100,7 +107,11 @@
     def more_within_guarantee(self, spec):
         """How many more tasks like this the team is guaranteed."""
         team = self.teams.get(spec.team)
-        return 0 if team is None or not (team.cpus or team.gpus) else self._more(spec, team.cpus, team.gpus)
+        return (
+            0
+            if team is None or not (team.cpus or team.gpus)
+            else self._more(spec, team.cpus, team.gpus)
+        )
 
     def _more(self, spec, cpus, gpus):
         use = self.team_use.get(spec.team, (0.0, 0.0))
@@ -112,7 +123,11 @@
 
     @staticmethod
     def fits(spec, free):
-        return free[0] + SLACK >= spec.cpus and free[2] + SLACK >= spec.ram and free[1] + SLACK >= spec.gpus
+        return (
+            free[0] + SLACK >= spec.cpus
+            and free[2] + SLACK >= spec.ram
+            and free[1] + SLACK >= spec.gpus
+        )
 
     def zones_of(self, job):
         """({zone: bound tasks}, whether every task's zone is known)."""
@@ -135,15 +150,20 @@
         self.room, self.images = room, images
         self.usable = usable
         # Most machines are full most of the time; only the others are looked at for every job.
-        self.roomy = [name for name in usable if room.free[name][0] > SLACK and room.free[name][2] > SLACK]
+        self.roomy = [
+            name for name in usable if room.free[name][0] > SLACK and room.free[name][2] > SLACK
+        ]
         self.taken = []
         self.full = set()  # needs for which no room was left; room only shrinks within a round
 
     def allowed(self, spec, name):
         """Whether kind, type and zone of the machine suit the job, its other tasks apart."""
         machine = self.room.machines[name]
-        return ((spec.spot or not machine.spot) and (spec.types is None or machine.type.name in spec.types)
-                and (spec.zone is None or machine.zone == spec.zone))
+        return (
+            (spec.spot or not machine.spot)
+            and (spec.types is None or machine.type.name in spec.types)
+            and (spec.zone is None or machine.zone == spec.zone)
+        )
 
     def score(self, spec, name):
         room = self.room
@@ -179,7 +199,9 @@
             return []
         free, fits = room.free, room.fits
         found = []
-        fitting = [name for name in self.roomy if fits(spec, free[name]) and self.allowed(spec, name)]
+        fitting = [
+            name for name in self.roomy if fits(spec, free[name]) and self.allowed(spec, name)
+        ]
         most = (spec.tasks + 1) // 2
         ordered = [name for _, name in sorted((self.score(spec, name), name) for name in fitting)]
         # A service's replicas go to a machine each where they can: what a machine's loss costs is less,
@@ -190,8 +212,13 @@
             for name in ordered:
                 zone = room.machines[name].zone
                 for _ in range(min(at_once, count - len(found))):
-                    if not fits(spec, free[name]) or (zoned and (
-                            (spec.one_zone and zones and zone not in zones) or (spec.scatter and zones.get(zone, 0) >= most))):
+                    if not fits(spec, free[name]) or (
+                        zoned
+                        and (
+                            (spec.one_zone and zones and zone not in zones)
+                            or (spec.scatter and zones.get(zone, 0) >= most)
+                        )
+                    ):
                         break
                     zones[zone] = zones.get(zone, 0) + 1
                     room.count(spec, name)
--- a/emberglade/placement/types.py
+++ b/emberglade/placement/types.py
@@ -20,12 +20,19 @@
 
     def holds(self, spec):
         """How many tasks like this fit an empty machine."""
-        counts = [have / need for have, need in ((self.cpus, spec.cpus), (self.gpus, spec.gpus), (self.ram, spec.ram)) if need > 0]
+        counts = [
+            have / need
+            for have, need in ((self.cpus, spec.cpus), (self.gpus, spec.gpus), (self.ram, spec.ram))
+            if need > 0
+        ]
         return int(min(counts, default=1000) + SLACK)
 
     def allows(self, spec):
-        return ((spec.types is None or self.name in spec.types) and (spec.zone is None or spec.zone in self.zones)
-                and self.holds(spec) >= 1)
+        return (
+            (spec.types is None or self.name in spec.types)
+            and (spec.zone is None or spec.zone in self.zones)
+            and self.holds(spec) >= 1
+        )
 
 
 def read_types(data):
@@ -33,8 +40,23 @@
 
 
 def write_types(types):
-    return {"types": [[t.name, t.cpus, t.gpus, t.ram, t.cache_gb, t.fetch_gb_per_s, t.price, t.spot_price, t.boot_s, list(t.zones)]
-                      for t in types.values()]}
+    return {
+        "types": [
+            [
+                t.name,
+                t.cpus,
+                t.gpus,
+                t.ram,
+                t.cache_gb,
+                t.fetch_gb_per_s,
+                t.price,
+                t.spot_price,
+                t.boot_s,
+                list(t.zones),
+            ]
+            for t in types.values()
+        ]
+    }
 
 
 def fits_some_type(spec, types):
--- a/emberglade/sizing/sizer.py
+++ b/emberglade/sizing/sizer.py
@@ -26,8 +26,14 @@
         lookbacks.append(int(lookback))
         lookback *= 2
     lookbacks.append(int(max_lookback_s))
-    return tuple(Expert(lookback, percentile, multiplier) for lookback in lookbacks
-                 for percentile, multiplier in [*((p, 1.0) for p in range(1, 101)), *((80, m) for m in MULTIPLIERS)])
+    return tuple(
+        Expert(lookback, percentile, multiplier)
+        for lookback in lookbacks
+        for percentile, multiplier in [
+            *((p, 1.0) for p in range(1, 101)),
+            *((80, m) for m in MULTIPLIERS),
+        ]
+    )
 
 
 def percentile(ordered, percent):
@@ -38,7 +44,13 @@
 class Sizer:
     def __init__(self, experts, epsilon, round_s, premium, spread, share, rng):
         self.spread, self.share = spread, share
-        self.experts, self.epsilon, self.round_s, self.premium, self.rng = experts, epsilon, int(round_s), premium, rng
+        self.experts, self.epsilon, self.round_s, self.premium, self.rng = (
+            experts,
+            epsilon,
+            int(round_s),
+            premium,
+            rng,
+        )
         self.weights = [1 / len(experts)] * len(experts)
         self.history = deque(maxlen=max(self.round_s, *(e.lookback_s for e in experts)))
         self.prices = deque(maxlen=self.round_s)
@@ -56,7 +68,7 @@
         for expert in self.experts:
             values = ordered.get(expert.lookback_s)
             if values is None:
-                values = ordered[expert.lookback_s] = sorted(history[-expert.lookback_s:])
+                values = ordered[expert.lookback_s] = sorted(history[-expert.lookback_s :])
             row.append(math.ceil(percentile(values, expert.percentile) * expert.multiplier - 1e-9))
         return row
 
@@ -67,10 +79,13 @@
             return None
         # What was there during this round was asked for a boot time earlier.
         allocated = self.targets[-back]
-        seconds = list(zip(list(self.history)[-self.round_s:], self.prices, strict=False))
+        seconds = list(zip(list(self.history)[-self.round_s :], self.prices, strict=False))
         by_target = {}
         for target in set(allocated):
-            by_target[target] = sum(price * (target + self.premium * max(0, demand - target)) for demand, price in seconds)
+            by_target[target] = sum(
+                price * (target + self.premium * max(0, demand - target))
+                for demand, price in seconds
+            )
         return [by_target[target] for target in allocated]
 
     def round(self, boot_s):
@@ -84,8 +99,10 @@
             if largest <= 0:
                 # With nothing to do the best cost nothing: whoever paid at all pays in full.
                 largest = min((c - best for c in costs if c > best), default=1.0)
-            self.weights = [w * (1 - self.epsilon * min(1.0, (c - best) / largest))
-                            for w, c in zip(self.weights, costs, strict=True)]
+            self.weights = [
+                w * (1 - self.epsilon * min(1.0, (c - best) / largest))
+                for w, c in zip(self.weights, costs, strict=True)
+            ]
             # A share of all weight is spread anew, or experts of another hour could not come back.
             total = sum(self.weights)
             even = self.share / len(self.weights)
--- a/emberglade/state/store.py
+++ b/emberglade/state/store.py
@@ -38,8 +38,12 @@
         self.flying = 0
         self.submission_favoured = float("-inf")  # when a submission was last sent
         self.pause_until = 0.0
-        self.requests = TokenBucket(settings.state_rps, settings.size, settings.state_rps / settings.size)
-        self.writes = TokenBucket(settings.state_write_rps, settings.size, settings.state_write_rps / settings.size)
+        self.requests = TokenBucket(
+            settings.state_rps, settings.size, settings.state_rps / settings.size
+        )
+        self.writes = TokenBucket(
+            settings.state_write_rps, settings.size, settings.state_write_rps / settings.size
+        )
         # Syncs take at most half of the even share, however many ask; commits have the rest.
         self.sync_gap = 2.0 * settings.size / settings.state_rps
         # While nobody asks, others' changes are looked for less often: most of a quiet day is this.
@@ -60,13 +64,21 @@
     def on_subscribe(self, actor):
         self.subscribers.append(actor)
         if self.revision >= 0:
-            actor.tell("changed", [(k, d, s) for k, (d, s) in self.copy.items()], self.revision, True)
+            actor.tell(
+                "changed", [(k, d, s) for k, (d, s) in self.copy.items()], self.revision, True
+            )
 
     # --- reading everything
 
     def load(self, after, found, first=None):
-        self.send(REPORTS, 0, "GET", wire.list_path(LIVE, LIVE + after if after else "", 1000), None,
-                  self.then("loaded", found, first))
+        self.send(
+            REPORTS,
+            0,
+            "GET",
+            wire.list_path(LIVE, LIVE + after if after else "", 1000),
+            None,
+            self.then("loaded", found, first),
+        )
 
     def on_loaded(self, found, first, status, body):
         page = wire.read_list(body) if status == 200 else None
@@ -78,9 +90,9 @@
         # Pages are read at growing revisions; the follow from the first one mends the rest.
         first = revision if first is None else first
         if more and rows:
-            self.load(rows[-1][0][len(LIVE):], found, first)
+            self.load(rows[-1][0][len(LIVE) :], found, first)
             return
-        fresh = {key[len(LIVE):]: (data, stamp) for key, data, stamp in found}
+        fresh = {key[len(LIVE) :]: (data, stamp) for key, data, stamp in found}
         gone = [(key, None, first) for key in self.copy if key not in fresh]
         self.copy = fresh
         self.revision = self.recent_after = first
@@ -101,7 +113,7 @@
         for key, data, stamp in events:
             if stamp <= self.revision or not key.startswith(LIVE):
                 continue
-            key = key[len(LIVE):]
+            key = key[len(LIVE) :]
             if data is None:
                 self.copy.pop(key, None)
             else:
@@ -132,7 +144,9 @@
             self.apply([(LIVE + key, data, stamp) for key, data, stamp in news[0]], news[1])
             for actor in self.subscribers:
                 if actor.hears_contact:
-                    actor.tell("changed", [], self.revision, False)  # the revision counts, also with nothing new
+                    actor.tell(
+                        "changed", [], self.revision, False
+                    )  # the revision counts, also with nothing new
 
     # --- the read barrier
 
@@ -161,7 +175,14 @@
         self.sync_sent = self.now()
         self.syncs[self.sync_number] = (self.sync_sent, self.sync_next)
         self.sync_next = []
-        self.send(REPORTS, 0, "GET", wire.follow_path(LIVE, self.revision, 0), None, self.then("synced", self.sync_number))
+        self.send(
+            REPORTS,
+            0,
+            "GET",
+            wire.follow_path(LIVE, self.revision, 0),
+            None,
+            self.then("synced", self.sync_number),
+        )
 
     def on_synced(self, number, status, body):
         sent, waiting = self.syncs.pop(number)
@@ -189,15 +210,27 @@
 
     def on_commit(self, rank, conditions, writes, reply):
         """`reply(status, revision, failed)`; keys are full names. `failed`: the keys, or what was wrong."""
-        self.send(rank, len(writes), "POST", "/txn", wire.txn(conditions, writes),
-                  lambda status, body: reply(status, wire.revision(body), wire.failure(body)))
+        self.send(
+            rank,
+            len(writes),
+            "POST",
+            "/txn",
+            wire.txn(conditions, writes),
+            lambda status, body: reply(status, wire.revision(body), wire.failure(body)),
+        )
 
     def on_read(self, rank, key, reply):
         """`reply(status, data, stamp)`."""
+
         def answer(status, body):
             if status == 200 and not (isinstance(body, dict) and "data" in body):
                 status = NO_ANSWER
-            reply(status, body["data"] if status == 200 else None, body.get("stamp") if status == 200 else None)
+            reply(
+                status,
+                body["data"] if status == 200 else None,
+                body.get("stamp") if status == 200 else None,
+            )
+
         self.send(rank, 0, "GET", wire.get_path(key), None, answer)
 
     def on_look(self, keys, reply):
@@ -205,11 +238,21 @@
         reply({key: self.copy.get(key) for key in keys})
 
     def on_grant(self, life_ms, reply):
-        self.send(REPORTS, 0, "POST", "/grants", {"life_ms": life_ms},
-                  lambda status, body: reply(body.get("tenure") if status == 200 and isinstance(body, dict) else None))
+        self.send(
+            REPORTS,
+            0,
+            "POST",
+            "/grants",
+            {"life_ms": life_ms},
+            lambda status, body: reply(
+                body.get("tenure") if status == 200 and isinstance(body, dict) else None
+            ),
+        )
 
     def on_touch(self, lease, reply):
-        self.send(REPORTS, 0, "POST", f"/grants/{lease}/touch", {}, lambda status, body: reply(status))
+        self.send(
+            REPORTS, 0, "POST", f"/grants/{lease}/touch", {}, lambda status, body: reply(status)
+        )
 
     def send(self, rank, writes, method, path, body, reply):
         if len(self.queue[rank]) > 200:
@@ -232,7 +275,11 @@
         submission of that time was answered too late (fleet/third_dies.txt).
         """
         submissions = self.queue[SUBMISSIONS]
-        if submissions and now - submissions[0][0] > self.patience / 4 and now - self.submission_favoured > self.patience / 8:
+        if (
+            submissions
+            and now - submissions[0][0] > self.patience / 4
+            and now - self.submission_favoured > self.patience / 8
+        ):
             yield submissions, 1
         for line in self.queue:
             yield line, len(line)
@@ -258,7 +305,9 @@
                 self.requests.take(now, 1)
                 self.writes.take(now, writes)
                 self.flying += 1
-                self.link.call(method, path, body, self.patience, self.then_hand("answered", writes, reply))
+                self.link.call(
+                    method, path, body, self.patience, self.then_hand("answered", writes, reply)
+                )
 
     def on_answered(self, writes, reply, status, body):
         self.flying -= 1
--- a/emberglade/state/wire.py
+++ b/emberglade/state/wire.py
@@ -17,7 +17,9 @@
 
 
 def put(key, data, lease=None):
-    return {"put": key, "data": data} if lease is None else {"put": key, "data": data, "tenure": lease}
+    return (
+        {"put": key, "data": data} if lease is None else {"put": key, "data": data, "tenure": lease}
+    )
 
 
 def remove(key):
@@ -43,18 +45,33 @@
 
 def read_list(body):
     """([(key, data, stamp)], more, revision) or None when the body is odd."""
-    if not isinstance(body, dict) or revision(body) is None or not isinstance(body.get("pairs", []), list):
+    if (
+        not isinstance(body, dict)
+        or revision(body) is None
+        or not isinstance(body.get("pairs", []), list)
+    ):
         return None
     try:
-        return [(p["key"], p["data"], p["stamp"]) for p in body.get("pairs") or []], bool(body.get("has_next")), revision(body)
+        return (
+            [(p["key"], p["data"], p["stamp"]) for p in body.get("pairs") or []],
+            bool(body.get("has_next")),
+            revision(body),
+        )
     except (TypeError, KeyError):
         return None
 
 
 def news(rows, newest):
     """Changes, as one controller tells them to another."""
-    return {"ledger_rev": newest, "news": [{"remove": key, "stamp": stamp} if data is None else {"put": key, "data": data, "stamp": stamp}
-                                           for key, data, stamp in rows]}
+    return {
+        "ledger_rev": newest,
+        "news": [
+            {"remove": key, "stamp": stamp}
+            if data is None
+            else {"put": key, "data": data, "stamp": stamp}
+            for key, data, stamp in rows
+        ],
+    }
 
 
 def since(revision):
@@ -72,7 +89,9 @@
     if not isinstance(body, dict) or revision(body) is None:
         return None
     try:
-        return [(e["put"], e["data"], e["stamp"]) if "put" in e else (e["remove"], None, e["stamp"])
-                for e in body.get("news") or []], revision(body)
+        return [
+            (e["put"], e["data"], e["stamp"]) if "put" in e else (e["remove"], None, e["stamp"])
+            for e in body.get("news") or []
+        ], revision(body)
     except (TypeError, KeyError):
         return None
--- a/emberglade/transport.py
+++ b/emberglade/transport.py
@@ -42,8 +42,10 @@
     def request(self, method, path, body, timeout):
         """Returns (status, decoded body or None); raises OSError or ValueError."""
         payload = b"" if body is None else orjson.dumps(body)
-        head = (f"{method} {path} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n"
-                f"Content-Type: application/json\r\nContent-Length: {len(payload)}\r\n\r\n")
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(payload)}\r\n\r\n"
+        )
         fresh = self.sock is None
         if fresh:
             self.sock = socket.create_connection(self.address, timeout)
@@ -184,10 +186,20 @@
             reply(status, data)
 
 
-REASONS = {200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           409: "Conflict", 413: "Content Too Large", 421: "Misdirected Request",
-           422: "Unprocessable Content", 429: "Too Many Requests", 503: "Service Unavailable",
-           504: "Gateway Timeout"}
+REASONS = {
+    200: "OK",
+    201: "Created",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Content Too Large",
+    421: "Misdirected Request",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 
 WANTED = b"cCtT"  # first letters of the headers that matter
@@ -243,7 +255,11 @@
             else:
                 length = -1
             if length < 0 or length > BODY_LIMIT:
-                self._answer(400, {"error": "a body of at most 64 KiB with its Content-Length is needed"}, None)
+                self._answer(
+                    400,
+                    {"error": "a body of at most 64 KiB with its Content-Length is needed"},
+                    None,
+                )
                 return
             body = self.rfile.read(length) if length else b""
             if len(body) < length:
@@ -263,8 +279,10 @@
         payload = b"" if data is None else orjson.dumps(data)
         extra = f"Retry-After: {retry}\r\n" if retry is not None else ""
         close = "Connection: close\r\n" if self.close_connection else ""
-        head = (f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\nContent-Type: application/json\r\n"
-                f"Content-Length: {len(payload)}\r\n{extra}{close}\r\n")
+        head = (
+            f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(payload)}\r\n{extra}{close}\r\n"
+        )
         self.wfile.write(head.encode() + payload)
 
 
@@ -278,7 +296,9 @@
     daemon_threads = True
     allow_reuse_address = True
 
-    def __init__(self, address, route, patience, idle_s, most, sparing=lambda path: False, most_sparing=0):
+    def __init__(
+        self, address, route, patience, idle_s, most, sparing=lambda path: False, most_sparing=0
+    ):
         self.route = route
         self.patience, self.idle_s = patience, idle_s
         self.slots = threading.BoundedSemaphore(most)
@@ -320,11 +340,21 @@
 
     def serve(self, method, path, body):
         answers = queue.SimpleQueue()
-        self.route(method, path, body, lambda status, data=None, retry=None: answers.put((status, data, retry)))
+        self.route(
+            method,
+            path,
+            body,
+            lambda status, data=None, retry=None: answers.put((status, data, retry)),
+        )
         try:
             return answers.get(timeout=self.patience)
         except queue.Empty:
             return 503, {"error": "no decision in time; ask again"}, 1
 
     def begin(self, name, poll_interval=3600):
-        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": poll_interval}, name=name, daemon=True).start()
+        threading.Thread(
+            target=self.serve_forever,
+            kwargs={"poll_interval": poll_interval},
+            name=name,
+            daemon=True,
+        ).start()
--- a/tests/breakages.py
+++ b/tests/breakages.py
@@ -27,6 +27,7 @@
                     if machine is not None and not machine.open:
                         self.release(job, task, bound.attempt, bound.machine)
         original(self)
+
     patch.setattr(JobManager, "on_tick", on_tick)
 
 
@@ -43,21 +44,39 @@
 
 
 def forgets_the_final_state(patch):
-    patch.setattr(Api, "on_look_read", lambda self, job_id, reply, status, data, stamp: reply(False, None))
+    patch.setattr(
+        Api, "on_look_read", lambda self, job_id, reply, status, data, stamp: reply(False, None)
+    )
 
 
 def answers_for_any_id(patch):
-    patch.setattr(Api, "on_polled", lambda self, reply, known, answer: reply(200, answer or {"id": "x", "glow": "pending"}))
+    patch.setattr(
+        Api,
+        "on_polled",
+        lambda self, reply, known, answer: reply(200, answer or {"id": "x", "glow": "pending"}),
+    )
 
 
 def done_too_early(patch):
-    patch.setattr(Job, "finished", lambda self: not self.spec.service and not self.withdrawn
-                  and self.done_count() >= max(1, self.spec.tasks // 2))
+    patch.setattr(
+        Job,
+        "finished",
+        lambda self: (
+            not self.spec.service
+            and not self.withdrawn
+            and self.done_count() >= max(1, self.spec.tasks // 2)
+        ),
+    )
 
 
 def withdrawn_becomes_done(patch):
-    patch.setattr(Api, "on_look_read", lambda self, job_id, reply, status, data, stamp:
-                  reply(True, {"id": job_id, "glow": "done" if data["glow"] == "withdrawn" else "withdrawn"}))
+    patch.setattr(
+        Api,
+        "on_look_read",
+        lambda self, job_id, reply, status, data, stamp: reply(
+            True, {"id": job_id, "glow": "done" if data["glow"] == "withdrawn" else "withdrawn"}
+        ),
+    )
 
 
 def starts_nothing(patch):
@@ -76,6 +95,7 @@
     def look_up(self, job_id, reply):
         if job_id != "job-1":
             original(self, job_id, reply)
+
     patch.setattr(Api, "look_up", look_up)
 
 
@@ -88,6 +108,7 @@
             self.detector.view.pop(data.get("hearth"), None)
             self.known.pop(data.get("hearth"), None)
         original(self, data, reply)
+
     patch.setattr(AgentManager, "on_beat", on_beat)
 
 
@@ -103,10 +124,12 @@
 
 def empty_copies_are_level(patch):
     """A peer that has no copy, just restarted, counts as one that told nobody anything."""
+
     def compare_copies(self, revision):
         for peer, said in self.told.items():
             if said.copy_revision <= revision:
                 self.level[peer] = max(self.level.get(peer, said.asked), said.asked)
+
     patch.setattr(FailureDetector, "compare_copies", compare_copies)
 
 
@@ -125,12 +148,15 @@
         if bound is not None:
             attempt, machine = bound.attempt, bound.machine
         original(self, job_id, task, attempt, machine, why, saved)
+
     patch.setattr(JobManager, "on_exited", on_exited)
 
 
 def unfenced_flights(patch):
     """A commit without an answer is taken for one that was not carried out."""
-    patch.setattr(JobManager, "on_fence_flight", lambda self: self.store.tell("sync", self.then("resync")))
+    patch.setattr(
+        JobManager, "on_fence_flight", lambda self: self.store.tell("sync", self.then("resync"))
+    )
 
 
 def writes_without_conditions(patch):
@@ -138,13 +164,26 @@
     original = Store.on_commit
 
     def on_commit(self, rank, conditions, writes, reply):
-        original(self, rank, [c for c in conditions if not c[0].startswith((LIVE + "j/", LIVE + "s/", LIVE + "t/")) or not c[1]], writes, reply)
+        original(
+            self,
+            rank,
+            [
+                c
+                for c in conditions
+                if not c[0].startswith((LIVE + "j/", LIVE + "s/", LIVE + "t/")) or not c[1]
+            ],
+            writes,
+            reply,
+        )
+
     patch.setattr(Store, "on_commit", on_commit)
 
 
 def tells_unsynced(patch):
     """Users are told what the copy shows, however old it is."""
-    patch.setattr(Store, "on_sync", lambda self, reply: reply(self.revision if self.revision >= 0 else None))
+    patch.setattr(
+        Store, "on_sync", lambda self, reply: reply(self.revision if self.revision >= 0 else None)
+    )
 
 
 def starts_unsynced(patch):
@@ -158,12 +197,17 @@
     original = Room.inventory
 
     def inventory(self, machines):
-        gone = [(job, task, bound) for name, rows in self.on.items() if name not in machines or not machines[name].open
-                for (_, task), (job, bound) in rows.items()]
+        gone = [
+            (job, task, bound)
+            for name, rows in self.on.items()
+            if name not in machines or not machines[name].open
+            for (_, task), (job, bound) in rows.items()
+        ]
         for job, _, _ in gone:
             use = self.team_use.get(job.spec.team)
             use[0] = max(0.0, use[0] - job.spec.cpus)
         original(self, machines)
+
     patch.setattr(Room, "inventory", inventory)
 
 
@@ -182,8 +226,14 @@
             self.after(5.0, "abort_late", job_id)
         else:
             original(self, job_id, reply, tries, revision)
+
     patch.setattr(Api, "on_abort_synced", on_abort_synced)
-    patch.setattr(Api, "on_abort_late", lambda self, job_id: original(self, job_id, lambda *_: None, 0, self.store.revision), raising=False)
+    patch.setattr(
+        Api,
+        "on_abort_late",
+        lambda self, job_id: original(self, job_id, lambda *_: None, 0, self.store.revision),
+        raising=False,
+    )
 
 
 def accepts_odd(patch):
@@ -192,10 +242,26 @@
 
     def on_submit(self, body, reply):
         data = orjson.loads(body)
-        whole = {"breed": "b", "crew": "core", "shape": "sweep", "rank": "normal", "embers": 1, "cpus": 1.0, "cards": 0.0, "ram_gb": 1.0,
-                 "kindling": "img", "image_gb": 0.0, "one_zone": False, "scatter": False, "driftwood": False, "burn_s": 1.0, "bank_s": 0.0,
-                 "banking_s": 0.0}
+        whole = {
+            "breed": "b",
+            "crew": "core",
+            "shape": "sweep",
+            "rank": "normal",
+            "embers": 1,
+            "cpus": 1.0,
+            "cards": 0.0,
+            "ram_gb": 1.0,
+            "kindling": "img",
+            "image_gb": 0.0,
+            "one_zone": False,
+            "scatter": False,
+            "driftwood": False,
+            "burn_s": 1.0,
+            "bank_s": 0.0,
+            "banking_s": 0.0,
+        }
         original(self, orjson.dumps({**whole, **data}), reply)
+
     patch.setattr(Api, "on_submit", on_submit)
 
 
@@ -212,6 +278,7 @@
     def apply(self, events, whole):
         original(self, events, whole)
         self.ready.update(self.waiting)
+
     patch.setattr(DependencyGraph, "apply", apply)
 
 
--- a/tests/stand_ins/cloud.py
+++ b/tests/stand_ins/cloud.py
@@ -11,7 +11,13 @@
 
 class Cloud:
     def __init__(self, world, plan, workers, observer, nodes):
-        self.world, self.plan, self.settings, self.observer, self.nodes = world, plan, workers, observer, nodes
+        self.world, self.plan, self.settings, self.observer, self.nodes = (
+            world,
+            plan,
+            workers,
+            observer,
+            nodes,
+        )
         self.machines = observer.machines
         self.requests = {}
         self.views = []
@@ -25,7 +31,9 @@
 
     def view(self):
         """The list is a picture taken every second, shown later."""
-        self.views.append((self.world.now, [m.row(self.world.now) for m in self.machines.values() if m.listed]))
+        self.views.append(
+            (self.world.now, [m.row(self.world.now) for m in self.machines.values() if m.listed])
+        )
         self.views = self.views[-60:]
         self.world.at(1.0, self.view)
 
@@ -40,8 +48,12 @@
             reply(200, {"hearth_kinds": [self.plan["type"]]})
         elif path == "/hosts" and method == "GET":
             lag = self.plan["lag_s"] * self.world.random.uniform(1, 2)
-            rows = next((rows for at, rows in reversed(self.views) if at <= self.world.now - lag), [])
-            rows = sorted((r for r in rows if r["id"] > options.get("since", "")), key=lambda r: r["id"])
+            rows = next(
+                (rows for at, rows in reversed(self.views) if at <= self.world.now - lag), []
+            )
+            rows = sorted(
+                (r for r in rows if r["id"] > options.get("since", "")), key=lambda r: r["id"]
+            )
             reply(200, {"hearths": rows[:500], "has_next": len(rows) > 500})
         elif path == "/hosts":
             reply(*self.rent(data))
@@ -60,8 +72,15 @@
         if count <= 0:
             return 503, {"error": "no capacity"}
         self.capacity[pool] -= count
-        names = [self.add(*pool, self.plan["type"]["boot_s"] * self.world.random.uniform(0.6, 1.5) * self.boot_factor)
-                 for _ in range(count)]
+        names = [
+            self.add(
+                *pool,
+                self.plan["type"]["boot_s"]
+                * self.world.random.uniform(0.6, 1.5)
+                * self.boot_factor,
+            )
+            for _ in range(count)
+        ]
         self.requests[data["woodcall"]] = names
         return 200, {"hearths": names}
 
@@ -77,7 +96,9 @@
     def remove(self, name):
         machine = self.machines.get(name)
         if machine is not None and machine.listed:
-            self.capacity[(machine.zone, machine.spot)] = self.capacity.get((machine.zone, machine.spot), 0) + 1
+            self.capacity[(machine.zone, machine.spot)] = (
+                self.capacity.get((machine.zone, machine.spot), 0) + 1
+            )
             machine.end()
             machine.listed = False
 
@@ -94,7 +115,7 @@
 
     def take_back(self, share, notice_s):
         spots = [m for m in self.machines.values() if m.spot and m.listed and m.up]
-        for machine in spots[:max(1, int(len(spots) * share))]:
+        for machine in spots[: max(1, int(len(spots) * share))]:
             if notice_s:
                 machine.notice_at = self.world.now + notice_s
                 machine.changed()
@@ -105,7 +126,13 @@
     """One machine's worker, as PROTOCOL describes it."""
 
     def __init__(self, cloud, name, zone, spot):
-        self.cloud, self.world, self.name, self.zone, self.spot = cloud, cloud.world, name, zone, spot
+        self.cloud, self.world, self.name, self.zone, self.spot = (
+            cloud,
+            cloud.world,
+            name,
+            zone,
+            spot,
+        )
         self.type = cloud.plan["type"]
         self.asked = cloud.world.now
         self.up, self.dead, self.listed = False, False, True
@@ -123,8 +150,15 @@
         self.hung, self.held = False, []
 
     def row(self, now):
-        return {"id": self.name, "addr": self.name + ":9000", "hearth_kind": self.type["label"], "glade": self.zone,
-                "driftwood": self.spot, "glow": "running" if self.up else "starting", "age_s": now - self.asked}
+        return {
+            "id": self.name,
+            "addr": self.name + ":9000",
+            "hearth_kind": self.type["label"],
+            "glade": self.zone,
+            "driftwood": self.spot,
+            "glow": "running" if self.up else "starting",
+            "age_s": now - self.asked,
+        }
 
     def boot(self):
         if self.dead:
@@ -198,11 +232,29 @@
 
     def report(self):
         self.tally += 1
-        return {"hearth": self.name, "addr": self.name + ":9000", "hearth_kind": self.type["label"], "glade": self.zone,
-                "driftwood": self.spot, "kindling_span": self.session, "tally": self.tally, "torch": self.token,
-                "reclaim_s": None if self.notice_at is None else max(0.0, self.notice_at - self.world.now),
-                "embers": [{"ember": name, "strike": row[0], "glow": row[1], **({"ashcause": row[2]} if row[2] else {}),
-                            **({"stored": True} if row[3] else {})} for name, row in self.tasks.items()]}
+        return {
+            "hearth": self.name,
+            "addr": self.name + ":9000",
+            "hearth_kind": self.type["label"],
+            "glade": self.zone,
+            "driftwood": self.spot,
+            "kindling_span": self.session,
+            "tally": self.tally,
+            "torch": self.token,
+            "reclaim_s": None
+            if self.notice_at is None
+            else max(0.0, self.notice_at - self.world.now),
+            "embers": [
+                {
+                    "ember": name,
+                    "strike": row[0],
+                    "glow": row[1],
+                    **({"ashcause": row[2]} if row[2] else {}),
+                    **({"stored": True} if row[3] else {}),
+                }
+                for name, row in self.tasks.items()
+            ],
+        }
 
     def send(self, reports=None):
         """`reports`: how many had been sent when this one was planned; another in between takes its place."""
@@ -215,13 +267,27 @@
         self.in_flight = True
         self.last_sent = self.world.now
         sent, session = self.world.now, self.session
-        self.world.request(self.name, self.cloud.nodes[self.node], "POST", "/agent/beat", self.report(), REPORT_TIMEOUT_S,
-                           lambda status, body: self.answered(sent, session, status, body))
+        self.world.request(
+            self.name,
+            self.cloud.nodes[self.node],
+            "POST",
+            "/agent/beat",
+            self.report(),
+            REPORT_TIMEOUT_S,
+            lambda status, body: self.answered(sent, session, status, body),
+        )
 
     def answered(self, sent, session, status, body):
         if self.hung:
             # Dropped if it waits for longer than a worker does; else read when the machine goes on.
-            self.world.at(0.5, self.answered, sent, session, status if self.world.now - sent < REPORT_TIMEOUT_S else NO_ANSWER, body)
+            self.world.at(
+                0.5,
+                self.answered,
+                sent,
+                session,
+                status if self.world.now - sent < REPORT_TIMEOUT_S else NO_ANSWER,
+                body,
+            )
             return
         self.in_flight = False
         if self.dead:
@@ -235,7 +301,9 @@
             wait = self.cloud.settings["report_s"] * self.world.random.uniform(0.75, 1.25)
             self.world.at(wait, self.send, self.reports)
         else:
-            target = (body or {}).get("firekeeper") if status == 421 and isinstance(body, dict) else None
+            target = (
+                (body or {}).get("firekeeper") if status == 421 and isinstance(body, dict) else None
+            )
             if target in self.cloud.nodes and target != self.cloud.nodes[self.node]:
                 self.node = self.cloud.nodes.index(target)
                 self.world.at(0.1, self.send, self.reports)
@@ -261,23 +329,45 @@
             if not self.fits():
                 self.exit(name, "full")
                 return
-            fetch = 0.0 if job["kindling"] in self.images else job["image_gb"] / self.type["fetch_gb_per_s"]
+            fetch = (
+                0.0
+                if job["kindling"] in self.images
+                else job["image_gb"] / self.type["fetch_gb_per_s"]
+            )
             self.world.at(fetch, self.run, name, self.serial, job)
             self.changed()
-        elif command["blast"] == "halt" and row is not None and row[0] == attempt and row[1] != "exited":
+        elif (
+            command["blast"] == "halt"
+            and row is not None
+            and row[0] == attempt
+            and row[1] != "exited"
+        ):
             job = self.cloud.observer.jobs[name.rpartition("/")[0]]
-            if row[1] == "running" and job["bank_s"] > 0 and command["smother_s"] >= job["banking_s"]:
+            if (
+                row[1] == "running"
+                and job["bank_s"] > 0
+                and command["smother_s"] >= job["banking_s"]
+            ):
                 row[1] = "saving"
                 self.world.at(job["banking_s"], self.saved, name, row[4])
                 self.changed()
             elif row[1] != "saving" or command["smother_s"] == 0:
                 self.exit(name, "halted")
-        elif command["blast"] == "clear" and row is not None and row[0] == attempt and row[1] == "exited":
+        elif (
+            command["blast"] == "clear"
+            and row is not None
+            and row[0] == attempt
+            and row[1] == "exited"
+        ):
             del self.tasks[name]
 
     def use(self):
         """What the tasks here take, those on their way included: (cpus, ram)."""
-        jobs = [self.cloud.observer.jobs[name.rpartition("/")[0]] for name, row in self.tasks.items() if row[1] != "exited"]
+        jobs = [
+            self.cloud.observer.jobs[name.rpartition("/")[0]]
+            for name, row in self.tasks.items()
+            if row[1] != "exited"
+        ]
         return sum(job["cpus"] for job in jobs), sum(job["ram_gb"] for job in jobs)
 
     def fits(self):
@@ -287,8 +377,13 @@
     def has_room(self, job):
         """Whether one more task like this may run here."""
         use = self.use()
-        return (use[0] + job["cpus"] <= self.type["cpus"] and use[1] + job["ram_gb"] <= self.type["ram_gb"] and job["glade"] in (None, self.zone)
-                and (job["driftwood"] or not self.spot) and self.type["label"] in (job["hearth_kinds"] or [self.type["label"]]))
+        return (
+            use[0] + job["cpus"] <= self.type["cpus"]
+            and use[1] + job["ram_gb"] <= self.type["ram_gb"]
+            and job["glade"] in (None, self.zone)
+            and (job["driftwood"] or not self.spot)
+            and self.type["label"] in (job["hearth_kinds"] or [self.type["label"]])
+        )
 
     def run(self, name, serial, job):
         if self.hung:
