--- a/tests/stand_ins/cluster.py
+++ b/tests/stand_ins/cluster.py
@@ -10,12 +10,40 @@
 from .state import StateService
 from .world import SimLink, SimPool, SimSystem, World
 
-LIMITS = {"nodes": 3, "rps": 100.0, "write_rps": 40.0, "value_bytes": 8192, "txn_ops": 16, "lease_s": 10.0, "report_s": 1.5,
-          "cancel_s": 40.0, "cloud_rps": 5.0, "capacity": 10}
-
-JOB = {"breed": "test", "crew": "core", "shape": "sweep", "rank": "normal", "embers": 1, "cpus": 1.0, "cards": 0.0,
-       "ram_gb": 1.0, "kindling": "img", "image_gb": 0.2, "hearth_kinds": None, "glade": None, "one_zone": False,
-       "scatter": False, "driftwood": False, "burn_s": 10.0, "bank_s": 0.0, "banking_s": 0.0, "due_s": None}
+LIMITS = {
+    "nodes": 3,
+    "rps": 100.0,
+    "write_rps": 40.0,
+    "value_bytes": 8192,
+    "txn_ops": 16,
+    "lease_s": 10.0,
+    "report_s": 1.5,
+    "cancel_s": 40.0,
+    "cloud_rps": 5.0,
+    "capacity": 10,
+}
+
+JOB = {
+    "breed": "test",
+    "crew": "core",
+    "shape": "sweep",
+    "rank": "normal",
+    "embers": 1,
+    "cpus": 1.0,
+    "cards": 0.0,
+    "ram_gb": 1.0,
+    "kindling": "img",
+    "image_gb": 0.2,
+    "hearth_kinds": None,
+    "glade": None,
+    "one_zone": False,
+    "scatter": False,
+    "driftwood": False,
+    "burn_s": 10.0,
+    "bank_s": 0.0,
+    "banking_s": 0.0,
+    "due_s": None,
+}
 
 
 # The fields of a submission that PROTOCOL does not let be null.
@@ -33,13 +61,38 @@
         self.observer.job_ended = self.job_ended
         self.cancels_at_end = (0.0, -1.0)  # (share, until)
         self.asked_at_end = 0
-        self.state = StateService(self.world, **{key: limits[key] for key in ("rps", "write_rps", "value_bytes", "txn_ops")})
-        plan = {"type": {"label": "box", "cpus": 8.0, "ram_gb": 32.0, "local_gb": 30.0, "fetch_gb_per_s": 0.2, "price": 0.6,
-                         "spot_price": 0.2, "boot_s": 15.0, "glades": list(zones)},
-                "capacity": {(zone, spot): limits["capacity"] for zone in zones for spot in (False, True)}, "lag_s": 3.0}
-        self.cloud = Cloud(self.world, plan, {key: limits[key] for key in ("report_s", "lease_s")}, self.observer, self.names)
+        self.state = StateService(
+            self.world,
+            **{key: limits[key] for key in ("rps", "write_rps", "value_bytes", "txn_ops")},
+        )
+        plan = {
+            "type": {
+                "label": "box",
+                "cpus": 8.0,
+                "ram_gb": 32.0,
+                "local_gb": 30.0,
+                "fetch_gb_per_s": 0.2,
+                "price": 0.6,
+                "spot_price": 0.2,
+                "boot_s": 15.0,
+                "glades": list(zones),
+            },
+            "capacity": {
+                (zone, spot): limits["capacity"] for zone in zones for spot in (False, True)
+            },
+            "lag_s": 3.0,
+        }
+        self.cloud = Cloud(
+            self.world,
+            plan,
+            {key: limits[key] for key in ("report_s", "lease_s")},
+            self.observer,
+            self.names,
+        )
         self.processes, self.nodes = {}, {}
-        self.production = set(self.names if "all" in production else production)  # controllers of the older version
+        self.production = set(
+            self.names if "all" in production else production
+        )  # controllers of the older version
         self.seed = seed
         for name in self.names:
             self.begin(name)
@@ -51,13 +104,36 @@
                 limits[key] = min(limits[key], value)
         teams = {n: Team(n, t["cpus"], t["cpus_max"]) for n, t in self.teams.items()}
         return Settings(
-            node=name, zone=self.zones[place % len(self.zones)], front=(name, 1), internal=(name, 2),
-            peers=tuple(Peer(n, self.zones[self.names.index(n) % len(self.zones)], (n, 2)) for n in self.names if n != name), cloud=("cloud", 1), state=("state", 1),
-            size=len(self.names), zones=tuple(sorted(self.zones)), skew_s=0.01, teams=teams,
-            objectives=(Objective("finished", "test", 100.0, 0.9),), report_s=limits["report_s"], lease_s=limits["lease_s"],
-            cancel_s=limits["cancel_s"], state_rps=limits["rps"], state_write_rps=limits["write_rps"], value_bytes=limits["value_bytes"],
-            txn_ops=limits["txn_ops"], cloud_rps=limits["cloud_rps"], list_lag_s=3.0, cpu=0.3, mem_mb=186.0, fd_limit=1200,
-            names=tuple(self.names))
+            node=name,
+            zone=self.zones[place % len(self.zones)],
+            front=(name, 1),
+            internal=(name, 2),
+            peers=tuple(
+                Peer(n, self.zones[self.names.index(n) % len(self.zones)], (n, 2))
+                for n in self.names
+                if n != name
+            ),
+            cloud=("cloud", 1),
+            state=("state", 1),
+            size=len(self.names),
+            zones=tuple(sorted(self.zones)),
+            skew_s=0.01,
+            teams=teams,
+            objectives=(Objective("finished", "test", 100.0, 0.9),),
+            report_s=limits["report_s"],
+            lease_s=limits["lease_s"],
+            cancel_s=limits["cancel_s"],
+            state_rps=limits["rps"],
+            state_write_rps=limits["write_rps"],
+            value_bytes=limits["value_bytes"],
+            txn_ops=limits["txn_ops"],
+            cloud_rps=limits["cloud_rps"],
+            list_lag_s=3.0,
+            cpu=0.3,
+            mem_mb=186.0,
+            fd_limit=1200,
+            names=tuple(self.names),
+        )
 
     def next_limits(self):
         """The limits announced for later, by the name of those that they will replace."""
@@ -74,8 +150,14 @@
 
     def begin(self, name):
         process = SimSystem(self.world, name, self.seed)
-        node = assemble(self.settings(name), Operators(), SimLink(process, "state"),
-                        SimLink(process, "cloud"), {n: SimLink(process, n) for n in self.names if n != name}, SimPool(process))
+        node = assemble(
+            self.settings(name),
+            Operators(),
+            SimLink(process, "state"),
+            SimLink(process, "cloud"),
+            {n: SimLink(process, n) for n in self.names if n != name},
+            SimPool(process),
+        )
         for actor, actor_name in as_production(node) if name in self.production else node.actors():
             process.spawn(actor, actor_name)
 
@@ -83,7 +165,11 @@
             def answer(*result):
                 if process.alive:
                     reply(*result)
-            (node.peer_route if path.startswith("/peer/") else node.api.route)(method, path, body, answer)
+
+            (node.peer_route if path.startswith("/peer/") else node.api.route)(
+                method, path, body, answer
+            )
+
         self.world.hosts[name] = handle
         self.processes[name], self.nodes[name] = process, node
 
@@ -108,7 +194,9 @@
         self.processes[name].freeze(self.world.now + seconds)
 
     def cut_zone(self, zone, seconds, mode):
-        inside = [n for n in self.names if self.zones[self.names.index(n) % len(self.zones)] == zone]
+        inside = [
+            n for n in self.names if self.zones[self.names.index(n) % len(self.zones)] == zone
+        ]
         inside += [m.name for m in self.cloud.machines.values() if m.zone == zone]
         everyone = [*self.names, "state", "cloud", "user", *self.cloud.machines]
         self.world.cut(inside, set(everyone) - set(inside), seconds, mode)
@@ -137,7 +225,10 @@
                 self.world.at(5.0, self.poll, job["id"])
             elif status not in (400, 422) and self.world.now - since < 60:
                 self.world.at(1.0 + self.world.random.random(), self.attempt, job, since)
-        self.world.request("user", self.world.random.choice(self.names), "POST", "/submissions", job, 5.0, answered)
+
+        self.world.request(
+            "user", self.world.random.choice(self.names), "POST", "/submissions", job, 5.0, answered
+        )
 
     def poll(self, job_id):
         asked = self.world.now
@@ -145,8 +236,19 @@
         def answered(status, body):
             self.observer.told(job_id, asked, status, body)
             # Users may ask again at any later time: final states are asked for more rarely.
-            self.world.at(40.0 if status == 200 and job_id in self.observer.final else 5.0, self.poll, job_id)
-        self.world.request("user", self.world.random.choice(self.names), "GET", f"/submissions/{job_id}", None, 2.0, answered)
+            self.world.at(
+                40.0 if status == 200 and job_id in self.observer.final else 5.0, self.poll, job_id
+            )
+
+        self.world.request(
+            "user",
+            self.world.random.choice(self.names),
+            "GET",
+            f"/submissions/{job_id}",
+            None,
+            2.0,
+            answered,
+        )
 
     def leader(self):
         """Who leads, as the state service has it."""
@@ -167,17 +269,36 @@
             self.observer.told(job_id, asked, status, body)
             if status != 200 and self.world.now - since < 60:
                 self.world.at(1.0 + self.world.random.random(), self.abort, job_id, since, node)
-        self.world.request("user", node or self.world.random.choice(self.names), "POST", f"/submissions/{job_id}/abort", {}, 5.0, answered)
+
+        self.world.request(
+            "user",
+            node or self.world.random.choice(self.names),
+            "POST",
+            f"/submissions/{job_id}/abort",
+            {},
+            5.0,
+            answered,
+        )
 
     def cancel_now(self, count, hang_s):
         """Users call off that many running jobs within a fifth of a second; some of their machines hang."""
         observer, rng = self.observer, self.world.random
-        running = sorted({name.rpartition("/")[0] for name, places in observer.on.items() if places} - observer.asked_abort)
+        running = sorted(
+            {name.rpartition("/")[0] for name, places in observer.on.items() if places}
+            - observer.asked_abort
+        )
         chosen = rng.sample(running, min(count, len(running)))
         for job_id in chosen:
             self.world.at(rng.uniform(0, 0.2), self.abort, job_id)
         if hang_s:
-            machines = sorted({m for name, places in observer.on.items() if name.rpartition("/")[0] in chosen for m in places})
+            machines = sorted(
+                {
+                    m
+                    for name, places in observer.on.items()
+                    if name.rpartition("/")[0] in chosen
+                    for m in places
+                }
+            )
             for machine in rng.sample(machines, min(8, len(machines))):
                 if not self.cloud.machines[machine].hung:
                     self.cloud.machines[machine].hang(hang_s)
@@ -193,20 +314,38 @@
 
     def poll_once(self, job_id):
         asked = self.world.now
-        self.world.request("user", self.world.random.choice(self.names), "GET", f"/submissions/{job_id}", None, 2.0,
-                           lambda status, body: self.observer.told(job_id, asked, status, body))
+        self.world.request(
+            "user",
+            self.world.random.choice(self.names),
+            "GET",
+            f"/submissions/{job_id}",
+            None,
+            2.0,
+            lambda status, body: self.observer.told(job_id, asked, status, body),
+        )
 
     def submit_again(self, job_id, **changed):
         asked = self.world.now
-        self.world.request("user", self.world.random.choice(self.names), "POST", "/submissions",
-                           {**self.observer.jobs[job_id], **changed}, 5.0,
-                           lambda status, body: self.observer.told(job_id, asked, status, body))
+        self.world.request(
+            "user",
+            self.world.random.choice(self.names),
+            "POST",
+            "/submissions",
+            {**self.observer.jobs[job_id], **changed},
+            5.0,
+            lambda status, body: self.observer.told(job_id, asked, status, body),
+        )
 
     def odd_requests(self, seconds):
         """Repeats with another body, cancellations of what is done, jobs that fit nowhere or lack a field."""
         rng, observer = self.world.random, self.observer
         for number in range(int(seconds)):
-            self.world.at(rng.uniform(0, seconds), self.odd_request, rng.randrange(4), f"job-odd{self.world.now:.0f}x{number}")
+            self.world.at(
+                rng.uniform(0, seconds),
+                self.odd_request,
+                rng.randrange(4),
+                f"job-odd{self.world.now:.0f}x{number}",
+            )
         observer.odd_until = self.world.now + seconds
 
     def odd_request(self, kind, odd_id):
@@ -214,22 +353,57 @@
         known = sorted(set(observer.accepted) - set(observer.final))
         done = sorted(job for job, row in observer.final.items() if row[0] == "done")
         if kind == 0 and known:
-            self.submit_again(rng.choice(known), **rng.choice([{}, {"cpus": 1000.0}, {"cpus": None}, {"crew": "nobody"}, {"embers": -1}]))
+            self.submit_again(
+                rng.choice(known),
+                **rng.choice(
+                    [{}, {"cpus": 1000.0}, {"cpus": None}, {"crew": "nobody"}, {"embers": -1}]
+                ),
+            )
         elif kind == 1 and done:
             job_id, asked = rng.choice(done), self.world.now
-            self.world.request("user", rng.choice(self.names), "POST", f"/submissions/{job_id}/abort", {}, 5.0,
-                               lambda status, body: observer.told(job_id, asked, status, body))
+            self.world.request(
+                "user",
+                rng.choice(self.names),
+                "POST",
+                f"/submissions/{job_id}/abort",
+                {},
+                5.0,
+                lambda status, body: observer.told(job_id, asked, status, body),
+            )
         elif kind >= 2:
             body = {**JOB, "id": odd_id, "crew": sorted(self.teams)[0]}
             if kind == 2:
                 del body[rng.choice(NOT_NULL)]
             else:
-                body.update(rng.choice([{"cpus": 500.0}, {"ram_gb": 1e6}, {"hearth_kinds": ["none"]}, {"glade": "nowhere"}, {"crew": "nobody"}]))
-            self.world.request("user", rng.choice(self.names), "POST", "/submissions", body, 5.0,
-                               lambda status, answer: observer.told_odd(odd_id, status))
+                body.update(
+                    rng.choice(
+                        [
+                            {"cpus": 500.0},
+                            {"ram_gb": 1e6},
+                            {"hearth_kinds": ["none"]},
+                            {"glade": "nowhere"},
+                            {"crew": "nobody"},
+                        ]
+                    )
+                )
+            self.world.request(
+                "user",
+                rng.choice(self.names),
+                "POST",
+                "/submissions",
+                body,
+                5.0,
+                lambda status, answer: observer.told_odd(odd_id, status),
+            )
 
     def ask(self, node, method, path, body, answers):
         """One request as it is; the answer is kept."""
         handler = self.world.hosts[node]
         payload = body if isinstance(body, bytes) else body.encode()
-        handler(method, path, payload, "user", lambda status, data=None, retry=None: answers.append((status, data, retry)))
+        handler(
+            method,
+            path,
+            payload,
+            "user",
+            lambda status, data=None, retry=None: answers.append((status, data, retry)),
+        )
--- a/tests/stand_ins/faults.py
+++ b/tests/stand_ins/faults.py
@@ -9,13 +9,24 @@
         service = rng.random() < 0.25
         real = rng.uniform(5, 40)
         fields = {
-            "shape": "standing" if service else "sweep", "rank": rng.choice(["critical", "urgent", "normal", "idle"]),
-            "embers": rng.randint(1, 5) if service else rng.randint(1, 30), "cpus": rng.choice([1.0, 2.0]),
-            "ram_gb": rng.choice([1.0, 3.0]), "kindling": f"img-{rng.randint(0, 3)}", "image_gb": rng.uniform(0, 1),
-            "driftwood": not service and rng.random() < 0.7, "scatter": service, "one_zone": not service and rng.random() < 0.2,
+            "shape": "standing" if service else "sweep",
+            "rank": rng.choice(["critical", "urgent", "normal", "idle"]),
+            "embers": rng.randint(1, 5) if service else rng.randint(1, 30),
+            "cpus": rng.choice([1.0, 2.0]),
+            "ram_gb": rng.choice([1.0, 3.0]),
+            "kindling": f"img-{rng.randint(0, 3)}",
+            "image_gb": rng.uniform(0, 1),
+            "driftwood": not service and rng.random() < 0.7,
+            "scatter": service,
+            "one_zone": not service and rng.random() < 0.2,
             "glade": rng.choice([None, None, None, *cluster.zones]) if not service else None,
-            "crew": rng.choice(sorted(cluster.teams)), "burn_s": 0.0 if service else real * rng.uniform(0.5, 1.5),
-            "bank_s": rng.choice([0.0, 5.0]), "banking_s": 2.0, "due_s": rng.choice([None, real * 3]), "real_s": real}
+            "crew": rng.choice(sorted(cluster.teams)),
+            "burn_s": 0.0 if service else real * rng.uniform(0.5, 1.5),
+            "bank_s": rng.choice([0.0, 5.0]),
+            "banking_s": 2.0,
+            "due_s": rng.choice([None, real * 3]),
+            "real_s": real,
+        }
         job_id = f"job-{rng.randint(0, 999999):06d}"
         at = rng.uniform(0, until * 0.7) if number else 0.0
         if pipelines and earlier and rng.random() < pipelines:
@@ -34,8 +45,29 @@
 
 
 # Troubles that the users' page lets meet.
-MEETING = ("refuse", "outage", "late_writes", "slow_state", "crash", "crash_all", "roll", "lone", "zone", "cut", "deaf", "mute", "hang",
-           "die", "cancel_now", "cancel_at_end", "odd", "peers_refuse", "freeze", "hold", "copies")
+MEETING = (
+    "refuse",
+    "outage",
+    "late_writes",
+    "slow_state",
+    "crash",
+    "crash_all",
+    "roll",
+    "lone",
+    "zone",
+    "cut",
+    "deaf",
+    "mute",
+    "hang",
+    "die",
+    "cancel_now",
+    "cancel_at_end",
+    "odd",
+    "peers_refuse",
+    "freeze",
+    "hold",
+    "copies",
+)
 
 
 def draw_meetings(cluster, jobs, count, until, pipelines=0.0):
@@ -46,7 +78,11 @@
     for _ in range(count):
         at = rng.uniform(20, until * 0.7)
         for _ in range(rng.randint(2, 4)):
-            kind, moment, seconds = rng.choice(MEETING), at + rng.uniform(0, 6), rng.choice([rng.uniform(1, 15), rng.uniform(15, 60)])
+            kind, moment, seconds = (
+                rng.choice(MEETING),
+                at + rng.uniform(0, 6),
+                rng.choice([rng.uniform(1, 15), rng.uniform(15, 60)]),
+            )
             world.at(moment, meet, cluster, kind, seconds)
             end = max(end, moment + seconds)
     world.at(end + 12, cluster.all_is_quiet)
@@ -118,7 +154,9 @@
     elif kind == 1:
         cloud.hang(count, rng.uniform(5, 40))
     elif kind == 2:
-        cluster.cut_zone(rng.choice(cluster.zones), rng.uniform(10, 45), rng.choice(["hold", "lose"]))
+        cluster.cut_zone(
+            rng.choice(cluster.zones), rng.uniform(10, 45), rng.choice(["hold", "lose"])
+        )
     elif kind == 3:
         cloud.take_back(1.0, 0.0)
         cloud.down_until = cluster.world.now + rng.uniform(10, 60)
@@ -162,4 +200,9 @@
         world.cut([node], ["state", *(n for n in cluster.names if n != node)], seconds, mode)
     elif kind == 12:
         for _ in range(3):
-            world.at(rng.uniform(0, 5), cluster.crash, rng.choice(cluster.names), rng.choice([0.05, 0.2, 0.5]))
+            world.at(
+                rng.uniform(0, 5),
+                cluster.crash,
+                rng.choice(cluster.names),
+                rng.choice([0.05, 0.2, 0.5]),
+            )
--- a/tests/stand_ins/observer.py
+++ b/tests/stand_ins/observer.py
@@ -53,11 +53,20 @@
 
     def is_called_off(self, job_id):
         """Whether a user asked to cancel the job or one that it needs."""
-        return job_id in self.asked_abort or any(need in self.asked_abort for need in self.needs(job_id))
+        return job_id in self.asked_abort or any(
+            need in self.asked_abort for need in self.needs(job_id)
+        )
 
     def orphaned_since(self, job_id):
         """When a user was first told that a job before this one is cancelled; None: nobody was."""
-        return min((self.withdrawn_told[need] for need in self.needs(job_id) if need in self.withdrawn_told), default=None)
+        return min(
+            (
+                self.withdrawn_told[need]
+                for need in self.needs(job_id)
+                if need in self.withdrawn_told
+            ),
+            default=None,
+        )
 
     # --- workers
 
@@ -72,27 +81,39 @@
         here = self.on.setdefault(name, {})
         if here:
             self.breach("ran_twice", f"{name} starts on {worker.name} while on {sorted(here)}")
-        others = [zone for other, places in self.on.items() if other.rpartition("/")[0] == job_id
-                  for zone in places.values()]
-        wrong = ((job["hearth_kinds"] is not None and worker.type["label"] not in job["hearth_kinds"])
-                 or (job["glade"] is not None and worker.zone != job["glade"])
-                 or (worker.spot and not job["driftwood"])
-                 or (job["one_zone"] and any(zone != worker.zone for zone in others))
-                 or (job["scatter"] and others.count(worker.zone) + 1 > (job["embers"] + 1) // 2))
+        others = [
+            zone
+            for other, places in self.on.items()
+            if other.rpartition("/")[0] == job_id
+            for zone in places.values()
+        ]
+        wrong = (
+            (job["hearth_kinds"] is not None and worker.type["label"] not in job["hearth_kinds"])
+            or (job["glade"] is not None and worker.zone != job["glade"])
+            or (worker.spot and not job["driftwood"])
+            or (job["one_zone"] and any(zone != worker.zone for zone in others))
+            or (job["scatter"] and others.count(worker.zone) + 1 > (job["embers"] + 1) // 2)
+        )
         if wrong:
             self.breach("wrong_place", f"{name} on {worker.name} in {worker.zone}")
         if not 0 <= int(number) < job["embers"]:
             self.breach("invented", f"{name} is no task of its job")
         here[worker.name] = worker.zone
         limit = self.teams[job["crew"]]["cpus_max"]
-        use = sum(self.jobs[other.rpartition("/")[0]]["cpus"] * len(places) for other, places in self.on.items()
-                  if self.jobs[other.rpartition("/")[0]]["crew"] == job["crew"])
+        use = sum(
+            self.jobs[other.rpartition("/")[0]]["cpus"] * len(places)
+            for other, places in self.on.items()
+            if self.jobs[other.rpartition("/")[0]]["crew"] == job["crew"]
+        )
         if limit and use > limit + 1e-9:
             self.breach("quota", f"{job['crew']} uses {use} of {limit}")
         told = self.withdrawn_told.get(job_id)
         self.starts_after_cancel += told is not None
         if told is not None and self.world.now > told + self.cancel_s:
-            self.breach("ran_cancelled", f"{name} starts {self.world.now - told:.1f} s after its cancellation")
+            self.breach(
+                "ran_cancelled",
+                f"{name} starts {self.world.now - told:.1f} s after its cancellation",
+            )
 
     def left(self, name, machine):
         self.on.get(name, {}).pop(machine, None)
@@ -116,11 +137,16 @@
                     if places and name.rpartition("/")[0] == job_id:
                         self.breach("ran_cancelled", f"{name} is on {sorted(places)}")
         for job_id, since in self.failing.items():
-            if self.world.now - since > 90 and sum(ok for _, ok in self.polls) > len(self.polls) / 2:
+            if (
+                self.world.now - since > 90
+                and sum(ok for _, ok in self.polls) > len(self.polls) / 2
+            ):
                 self.breach("forgotten", f"polls for {job_id} fail since {since:.0f}")
             # Once all troubles are over, a job stays known however others fare.
             if self.quiet_since is not None and self.world.now - max(since, self.quiet_since) > 75:
-                self.breach("forgotten", f"no question about {job_id} is answered since {since:.0f}")
+                self.breach(
+                    "forgotten", f"no question about {job_id} is answered since {since:.0f}"
+                )
         if self.quiet_since is not None:
             self.look_for_waiting()
         self.world.at(1.0, self.sweep)
@@ -139,12 +165,34 @@
             job = self.jobs[job_id]
             count = len(self.done.get(job_id, set()) | there.get(job_id, set()))
             limit = self.teams[job["crew"]]["cpus_max"]
-            if (job_id in self.final or self.is_called_off(job_id) or not all(map(self.is_done, job.get("awaits") or ())) or count >= job["embers"] or job["one_zone"] or job["scatter"]
-                    or (limit and use[job["crew"]] + job["cpus"] > limit)
-                    or not any(m.up and m.listed and not m.hung and not m.faulty and m.notice_at is None and m.has_room(job) for m in self.machines.values())):
+            if (
+                job_id in self.final
+                or self.is_called_off(job_id)
+                or not all(map(self.is_done, job.get("awaits") or ()))
+                or count >= job["embers"]
+                or job["one_zone"]
+                or job["scatter"]
+                or (limit and use[job["crew"]] + job["cpus"] > limit)
+                or not any(
+                    m.up
+                    and m.listed
+                    and not m.hung
+                    and not m.faulty
+                    and m.notice_at is None
+                    and m.has_room(job)
+                    for m in self.machines.values()
+                )
+            ):
                 self.waiting.pop(job_id, None)
-            elif self.world.now - max(self.waiting.setdefault(job_id, self.world.now), self.quiet_since) > 90:
-                self.breach("left_waiting", f"{job_id} waits since {self.waiting[job_id]:.0f}, and there is room")
+            elif (
+                self.world.now
+                - max(self.waiting.setdefault(job_id, self.world.now), self.quiet_since)
+                > 90
+            ):
+                self.breach(
+                    "left_waiting",
+                    f"{job_id} waits since {self.waiting[job_id]:.0f}, and there is room",
+                )
 
     def told_odd(self, job_id, status):
         """The answer to a submission that lacks a field or can never run."""
@@ -162,9 +210,15 @@
             groups.setdefault(("class", job["breed"]), []).append(job_id in self.begun)
             groups.setdefault(("team", job["crew"]), []).append(job_id in self.begun)
         for breed in {name for kind, name in groups if kind == "class"}:
-            own = sorted((j for j in self.accepted if self.jobs[j]["breed"] == breed and not self.is_called_off(j)),
-                         key=lambda j: -self.jobs[j]["embers"])
-            for job_id in own[:max(1, len(own) // 10)]:
+            own = sorted(
+                (
+                    j
+                    for j in self.accepted
+                    if self.jobs[j]["breed"] == breed and not self.is_called_off(j)
+                ),
+                key=lambda j: -self.jobs[j]["embers"],
+            )
+            for job_id in own[: max(1, len(own) // 10)]:
                 waited = self.begun.get(job_id, self.world.now) - self.accepted[job_id]
                 if waited <= 240 and job_id not in self.begun:
                     continue  # its time is not up yet
@@ -175,7 +229,9 @@
 
     def told(self, job_id, asked, status, body):
         """A user got an answer to a submission, poll or abort that was sent at `asked`."""
-        self.polls = [row for row in self.polls if row[0] > self.world.now - 90] + [(self.world.now, status in (200, 201))]
+        self.polls = [row for row in self.polls if row[0] > self.world.now - 90] + [
+            (self.world.now, status in (200, 201))
+        ]
         if status == 200 or status == 201:
             self.failing.pop(job_id, None)
             if job_id not in self.jobs:
@@ -185,8 +241,15 @@
             if glow == "done" and len(self.done.get(job_id, ())) < self.jobs[job_id]["embers"]:
                 self.breach("not_done", f"{job_id} is called done")
             since = self.orphaned_since(job_id)
-            if glow in ("pending", "running") and since is not None and asked > since + self.cancel_s:
-                self.breach("orphaned", f"{job_id} is called {glow}; a job before it was cancelled at {since:.1f}")
+            if (
+                glow in ("pending", "running")
+                and since is not None
+                and asked > since + self.cancel_s
+            ):
+                self.breach(
+                    "orphaned",
+                    f"{job_id} is called {glow}; a job before it was cancelled at {since:.1f}",
+                )
             if glow == "withdrawn" and not self.is_called_off(job_id):
                 self.breach("went_back", f"{job_id} is called withdrawn; nobody asked")
             before = self.final.get(job_id)
--- a/tests/stand_ins/production.py
+++ b/tests/stand_ins/production.py
@@ -26,7 +26,11 @@
             sizes.pop(key[2:], None)
         return
     if key.startswith("j/"):
-        if len(data["s"]) != SPEC_COLUMNS or not set(data) <= RECORD_FIELDS or not set(data.get("p", {})) <= PART_FIELDS:
+        if (
+            len(data["s"]) != SPEC_COLUMNS
+            or not set(data) <= RECORD_FIELDS
+            or not set(data.get("p", {})) <= PART_FIELDS
+        ):
             raise Unreadable(f"{key}: {data}")
         if sizes.setdefault(key[2:], data["z"]) != data["z"]:
             raise Unreadable(f"{key}: another part size")
@@ -45,6 +49,7 @@
         for key, data, _ in known:
             check(key, data, sizes)
         original(known, revision, whole)
+
     actor.on_changed = on_changed
 
 
--- a/tests/stand_ins/state.py
+++ b/tests/stand_ins/state.py
@@ -8,7 +8,12 @@
 class StateService:
     def __init__(self, world, rps, write_rps, value_bytes, txn_ops):
         self.world = world
-        self.rps, self.write_rps, self.value_bytes, self.txn_ops = rps, write_rps, value_bytes, txn_ops
+        self.rps, self.write_rps, self.value_bytes, self.txn_ops = (
+            rps,
+            write_rps,
+            value_bytes,
+            txn_ops,
+        )
         self.keys = {}  # key -> [data, stamp, lease]
         self.revision = 0
         self.log = []
@@ -19,7 +24,10 @@
         self.refused = {}  # node -> until
         self.level = {"requests": (rps, 0.0), "writes": (write_rps, 0.0)}
         self.written = {}  # eg/l/m and the like -> puts and removals
-        self.late = (0.0, -1.0)  # (share, until): transactions without an answer, carried out after newer ones
+        self.late = (
+            0.0,
+            -1.0,
+        )  # (share, until): transactions without an answer, carried out after newer ones
         self.late_applied = 0  # of those, how many changed something
         self.odd = 0.0  # chance of a strange answer
         self.fallen = False  # whether the limits fell: what is too large is refused from then on
@@ -49,7 +57,18 @@
             reply(503, {"error": "trouble"})
             return
         if self.odd and self.world.random.random() < self.odd:
-            reply(*self.world.random.choice([(200, None), (200, {"pairs": 7}), (503, "<html>"), (409, []), (410, {}), (429, None)]))
+            reply(
+                *self.world.random.choice(
+                    [
+                        (200, None),
+                        (200, {"pairs": 7}),
+                        (503, "<html>"),
+                        (409, []),
+                        (410, {}),
+                        (429, None),
+                    ]
+                )
+            )
             return
         if not self.take("requests", 1, self.rps):
             reply(429, {})
@@ -57,13 +76,20 @@
         path, _, query = path.partition("?")
         options = dict(urllib.parse.parse_qsl(query))
         data = orjson.loads(body) if body else {}
-        if path == "/txn" and self.world.now < self.late[1] and self.world.random.random() < self.late[0]:
+        if (
+            path == "/txn"
+            and self.world.now < self.late[1]
+            and self.world.random.random() < self.late[0]
+        ):
             self.world.at(self.world.random.uniform(2, 12), self.apply_late, data, source)
         elif path == "/txn":
             reply(*self.txn(data, source))
         elif path == "/grants":
             self.next_lease += 1
-            self.leases[self.next_lease] = [data["life_ms"] / 1000, self.world.now + data["life_ms"] / 1000]
+            self.leases[self.next_lease] = [
+                data["life_ms"] / 1000,
+                self.world.now + data["life_ms"] / 1000,
+            ]
             self.world.at(data["life_ms"] / 1000, self.expire, self.next_lease)
             reply(200, {"tenure": self.next_lease})
         elif path.startswith("/grants/"):
@@ -78,17 +104,44 @@
             if self.log and since < self.log[0][0] - 1:
                 reply(410, {})
             else:
-                self.watches.append([options["under"], since, self.world.now + int(options.get("wait_ms", 0)) / 1000, reply, source])
+                self.watches.append(
+                    [
+                        options["under"],
+                        since,
+                        self.world.now + int(options.get("wait_ms", 0)) / 1000,
+                        reply,
+                        source,
+                    ]
+                )
                 self.serve_watches()
                 self.world.at(int(options.get("wait_ms", 0)) / 1000, self.serve_watches)
         elif path == "/store":
-            rows = sorted(k for k in self.keys if k.startswith(options["under"]) and k > options.get("since", ""))
+            rows = sorted(
+                k
+                for k in self.keys
+                if k.startswith(options["under"]) and k > options.get("since", "")
+            )
             limit = int(options.get("limit", 1000))
-            reply(200, {"pairs": [{"key": k, "data": self.keys[k][0], "stamp": self.keys[k][1]} for k in rows[:limit]],
-                        "has_next": len(rows) > limit, "ledger_rev": self.revision})
+            reply(
+                200,
+                {
+                    "pairs": [
+                        {"key": k, "data": self.keys[k][0], "stamp": self.keys[k][1]}
+                        for k in rows[:limit]
+                    ],
+                    "has_next": len(rows) > limit,
+                    "ledger_rev": self.revision,
+                },
+            )
         elif path.startswith("/store/"):
             found = self.keys.get(path[7:])
-            reply(*((200, {"key": path[7:], "data": found[0], "stamp": found[1]}) if found else (404, {"ledger_rev": self.revision})))
+            reply(
+                *(
+                    (200, {"key": path[7:], "data": found[0], "stamp": found[1]})
+                    if found
+                    else (404, {"ledger_rev": self.revision})
+                )
+            )
         else:
             reply(404, {})
 
@@ -123,11 +176,22 @@
         for write in writes:
             if write.get("tenure") is not None and write["tenure"] not in self.leases:
                 return 400, {"error": "no such lease"}
-        failed = [c["key"] for c in data.get("when", []) if self.keys.get(c["key"], (0, 0))[1] != c["stamp"]]
+        failed = [
+            c["key"]
+            for c in data.get("when", [])
+            if self.keys.get(c["key"], (0, 0))[1] != c["stamp"]
+        ]
         if failed:
             return 409, {"failed": failed, "ledger_rev": self.revision}
         if writes:
-            self.change([(w["put"], w["data"], w.get("tenure")) if "put" in w else (w["remove"], None, None) for w in writes])
+            self.change(
+                [
+                    (w["put"], w["data"], w.get("tenure"))
+                    if "put" in w
+                    else (w["remove"], None, None)
+                    for w in writes
+                ]
+            )
         return 200, {"ledger_rev": self.revision}
 
     def change(self, writes):
@@ -164,7 +228,11 @@
             prefix, since, until, reply, source = watch
             if self.refused.get(source, -1) > self.world.now:
                 continue
-            news = [e for r, e in self.log if r > since and (e.get("put") or e.get("remove")).startswith(prefix)]
+            news = [
+                e
+                for r, e in self.log
+                if r > since and (e.get("put") or e.get("remove")).startswith(prefix)
+            ]
             if news or until <= self.world.now + 1e-6:
                 self.watches.remove(watch)
                 reply(200, {"ledger_rev": self.revision, "news": news})
--- a/tests/stand_ins/world.py
+++ b/tests/stand_ins/world.py
@@ -46,7 +46,9 @@
 
     def blocked(self, source, target):
         for first, second, until, mode in self.cuts:
-            if until > self.now and ((source in first and target in second) or (source in second and target in first)):
+            if until > self.now and (
+                (source in first and target in second) or (source in second and target in first)
+            ):
                 return until, mode
         return None
 
@@ -54,7 +56,10 @@
         """Delivers after a delay; behind a cut late ('hold') or never ('lose')."""
         delay = 0.001 + self.random.random() * (0.004 + self.slow)
         cut = self.blocked(source, target)
-        if any(source in sources and target in targets and until > self.now for sources, targets, until in self.mutes):
+        if any(
+            source in sources and target in targets and until > self.now
+            for sources, targets, until in self.mutes
+        ):
             return
         if cut is not None:
             if cut[1] == "lose":
@@ -83,14 +88,25 @@
             if handler is not None:
                 handler(method, path, payload, source, answered)
 
-        if not any(source in sources and target in targets and until > self.now for sources, targets, until in self.closed):
+        if not any(
+            source in sources and target in targets and until > self.now
+            for sources, targets, until in self.closed
+        ):
             self.carry(source, target, lambda: arrive(answer))
         if self.random.random() < self.repeat:
             self.at(self.random.uniform(1, 40), lambda: arrive(lambda *_: None))
-        if self.copies is not None and path == self.copies[0] and self.random.random() < self.copies[1]:
+        if (
+            self.copies is not None
+            and path == self.copies[0]
+            and self.random.random() < self.copies[1]
+        ):
             host = self.random.choice(self.copies[4])
-            self.at(self.random.uniform(*self.copies[2:4]), lambda: (self.hosts.get(host) or (lambda *_: None))(
-                method, path, payload, source, lambda *_: None))
+            self.at(
+                self.random.uniform(*self.copies[2:4]),
+                lambda: (self.hosts.get(host) or (lambda *_: None))(
+                    method, path, payload, source, lambda *_: None
+                ),
+            )
         self.at(timeout, finish, NO_ANSWER, None)
 
 
@@ -102,8 +118,15 @@
 
     def call(self, method, path, body, timeout, reply):
         process = self.process
-        process.world.request(process.name, self.target, method, path, body, timeout,
-                              lambda status, data: reply(status, data) if process.alive else None)
+        process.world.request(
+            process.name,
+            self.target,
+            method,
+            path,
+            body,
+            timeout,
+            lambda status, data: reply(status, data) if process.alive else None,
+        )
 
 
 class SimPool:
@@ -134,7 +157,9 @@
 
     def spawn(self, actor, name):
         actor.system = self
-        actor._post = lambda delay, message, args: self.world.at(delay / self.rate, self.deliver, actor, message, args)
+        actor._post = lambda delay, message, args: self.world.at(
+            delay / self.rate, self.deliver, actor, message, args
+        )
         actor.tell("begin")
 
     def freeze(self, until):
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -77,14 +77,32 @@
     def play(self):
         if self.cluster is not None:
             return
-        self.cluster = Cluster(self.seed, teams=self.teams or None, production=self.production, **self.limits)
+        self.cluster = Cluster(
+            self.seed, teams=self.teams or None, production=self.production, **self.limits
+        )
         for verb, words in self.plan:
             if verb == "random" and "meetings" in split(words)[1]:
                 named = split(words)[1]
-                self.until = faults.draw_meetings(self.cluster, named["jobs"], named["meetings"], self.until, named.get("pipelines", 0.0)) + 130
+                self.until = (
+                    faults.draw_meetings(
+                        self.cluster,
+                        named["jobs"],
+                        named["meetings"],
+                        self.until,
+                        named.get("pipelines", 0.0),
+                    )
+                    + 130
+                )
             elif verb == "random":
                 _, named = split(words)
-                faults.draw(self.cluster, named["jobs"], named["faults"], self.until, named.get("mass", 0), named.get("pipelines", 0.0))
+                faults.draw(
+                    self.cluster,
+                    named["jobs"],
+                    named["faults"],
+                    self.until,
+                    named.get("mass", 0),
+                    named.get("pipelines", 0.0),
+                )
             else:
                 self.cluster.world.at(float(words[0]), getattr(self, "do_" + words[1]), *words[2:])
         self.cluster.world.run(self.until)
@@ -96,14 +114,18 @@
     def do_name(self, word, who):
         """From now on the word stands for the controller that leads now, or for the n-th one after it."""
         names, _, steps = self.cluster.names, *who.partition("+")[1:]
-        self.named[word] = names[(names.index(self.cluster.leader()) + int(steps or 0)) % len(names)]
+        self.named[word] = names[
+            (names.index(self.cluster.leader()) + int(steps or 0)) % len(names)
+        ]
 
     def do_report_to(self, node):
         """All workers report to this controller, and their reports reach no other; commands still reach them."""
         node, cluster = self.node(node), self.cluster
         for machine in cluster.cloud.machines.values():
             machine.node = cluster.names.index(node)
-        cluster.world.close(list(cluster.cloud.machines), [n for n in cluster.names if n != node], 1e9)
+        cluster.world.close(
+            list(cluster.cloud.machines), [n for n in cluster.names if n != node], 1e9
+        )
 
     def do_machines(self, zone, count, *words):
         for _ in range(int(count)):
@@ -122,7 +144,9 @@
     def do_fan(self, prefix, count, *words):
         """So many jobs, and one that awaits them all."""
         self.do_fill(prefix, count, *words)
-        self.cluster.submit(f"job-{prefix}end", awaits=[f"job-{prefix}{number}" for number in range(int(count))])
+        self.cluster.submit(
+            f"job-{prefix}end", awaits=[f"job-{prefix}{number}" for number in range(int(count))]
+        )
 
     def do_upgrade(self, node, seconds):
         self.cluster.upgrade(self.node(node), float(seconds))
@@ -161,7 +185,9 @@
     def do_cut(self, first, second, seconds, mode):
         groups = {"workers": list(self.cluster.cloud.machines), "nodes": self.cluster.names}
         first, second = (groups.get(word, [self.node(word)]) for word in (first, second))
-        self.cluster.world.cut(first, [name for name in second if name not in first], float(seconds), mode)
+        self.cluster.world.cut(
+            first, [name for name in second if name not in first], float(seconds), mode
+        )
 
     def do_cut_zone(self, zone, seconds, mode):
         """Everything in the zone, the controller there included, is cut off from everything else."""
@@ -192,15 +218,25 @@
     def do_lone(self, node, seconds, mode):
         """A controller loses the state service and the other controllers, but not its workers."""
         node = self.node(node)
-        self.cluster.world.cut([node], ["state", *(n for n in self.cluster.names if n != node)], float(seconds), mode)
+        self.cluster.world.cut(
+            [node], ["state", *(n for n in self.cluster.names if n != node)], float(seconds), mode
+        )
 
     def do_peers_refuse(self, seconds):
         for name in self.cluster.names:
-            self.cluster.world.cut([name], [n for n in self.cluster.names if n != name], float(seconds), "lose")
+            self.cluster.world.cut(
+                [name], [n for n in self.cluster.names if n != name], float(seconds), "lose"
+            )
 
     def do_copies(self, chance, least, most):
         """Copies of reports come late, to any node."""
-        self.cluster.world.copies = ("/agent/beat", float(chance), float(least), float(most), self.cluster.names)
+        self.cluster.world.copies = (
+            "/agent/beat",
+            float(chance),
+            float(least),
+            float(most),
+            self.cluster.names,
+        )
 
     def do_late_writes(self, share, seconds):
         """That share of transactions gets no answer and is carried out 2 to 12 s later."""
@@ -258,7 +294,13 @@
         elif text.startswith("job:"):
             # A whole submission, but for these fields; null takes one away.
             fields = {**JOB, **orjson.loads(text[4:])}
-            text = orjson.dumps({key: value for key, value in fields.items() if value is not None or key not in NOT_NULL}).decode()
+            text = orjson.dumps(
+                {
+                    key: value
+                    for key, value in fields.items()
+                    if value is not None or key not in NOT_NULL
+                }
+            ).decode()
         self.cluster.ask(self.node(node), method, path, text, self.answers)
 
     def do_flood(self, node, count, job_id):
@@ -279,12 +321,16 @@
     def expect_within_limits(self):
         """Nothing that controllers of the new version wrote was too large once the limits had fallen."""
         assert self.cluster.state.fallen
-        refused = [row for row in self.cluster.state.refused_sizes if row[0] not in self.cluster.production]
+        refused = [
+            row for row in self.cluster.state.refused_sizes if row[0] not in self.cluster.production
+        ]
         assert not refused, refused[:3]
 
     def expect_wrote(self, kind, least):
         """At least so many keys were written below eg/l/<kind>: the meeting took place."""
-        assert self.cluster.state.written.get("eg/l/" + kind, 0) >= int(least), self.cluster.state.written
+        assert self.cluster.state.written.get("eg/l/" + kind, 0) >= int(least), (
+            self.cluster.state.written
+        )
 
     def expect_left(self, kind, most):
         """At most so many keys are left below eg/l/<kind>."""
@@ -298,20 +344,31 @@
         assert 0 <= waited <= float(seconds), waited
 
     def expect_kept(self):
-        assert not self.cluster.observer.broken and not self.cluster.observer.rules(), self.cluster.observer.broken[:5]
+        assert not self.cluster.observer.broken and not self.cluster.observer.rules(), (
+            self.cluster.observer.broken[:5]
+        )
 
     def expect_broken(self, rule):
-        assert rule in self.cluster.observer.rules(), f"caught {self.cluster.observer.rules()}, not {rule}"
+        assert rule in self.cluster.observer.rules(), (
+            f"caught {self.cluster.observer.rules()}, not {rule}"
+        )
 
     def expect_state(self, job_id, state):
         assert self.cluster.observer.final.get(job_id, [None])[0] == state
 
     def slow(self, prefix, seconds):
         observer = self.cluster.observer
-        told = {job: at for job, at in observer.withdrawn_told.items() if job.startswith("job-" + prefix)}
+        told = {
+            job: at
+            for job, at in observer.withdrawn_told.items()
+            if job.startswith("job-" + prefix)
+        }
         assert told
-        return {job: round(observer.withdrawn_off.get(job, 0) - at, 1) for job, at in told.items()
-                if observer.withdrawn_off.get(job, 0) - at > float(seconds)}
+        return {
+            job: round(observer.withdrawn_off.get(job, 0) - at, 1)
+            for job, at in told.items()
+            if observer.withdrawn_off.get(job, 0) - at > float(seconds)
+        }
 
     def expect_off(self, prefix, seconds):
         """All withdrawn jobs of that name had nothing left that long after their users were told."""
@@ -328,14 +385,18 @@
 
     def expect_starts_after_cancel(self, least, most):
         """Tasks that started after their user was told that the job is cancelled."""
-        assert int(least) <= self.cluster.observer.starts_after_cancel <= int(most), self.cluster.observer.starts_after_cancel
+        assert int(least) <= self.cluster.observer.starts_after_cancel <= int(most), (
+            self.cluster.observer.starts_after_cancel
+        )
 
     def expect_late_applied(self, least):
         assert self.cluster.state.late_applied >= int(least), self.cluster.state.late_applied
 
     def expect_led(self, least):
         """The lead was taken so often."""
-        assert self.cluster.state.written.get("eg/l/lead", 0) >= int(least), self.cluster.state.written
+        assert self.cluster.state.written.get("eg/l/lead", 0) >= int(least), (
+            self.cluster.state.written
+        )
 
     def expect_asked_at_end(self, least):
         assert self.cluster.asked_at_end >= int(least), self.cluster.asked_at_end
@@ -345,10 +406,17 @@
 
     def expect_unfinished(self, job_id):
         """For broken builds: the job is not over by now."""
-        assert job_id in self.cluster.observer.accepted and job_id not in self.cluster.observer.final
+        assert (
+            job_id in self.cluster.observer.accepted and job_id not in self.cluster.observer.final
+        )
 
     def expect_running(self, job_id, count, where=None):
-        on = [m for name, places in self.cluster.observer.on.items() if name.rpartition("/")[0] == job_id for m in places]
+        on = [
+            m
+            for name, places in self.cluster.observer.on.items()
+            if name.rpartition("/")[0] == job_id
+            for m in places
+        ]
         assert len(on) == int(count), on
         if where is not None:
             assert all(self.cluster.cloud.machines[m].zone == where or m == where for m in on), on
@@ -363,7 +431,9 @@
 
     def expect_begun(self, job_id, seconds):
         observer = self.cluster.observer
-        assert job_id in observer.begun and observer.begun[job_id] - observer.accepted[job_id] <= float(seconds), observer.begun.get(job_id)
+        assert job_id in observer.begun and observer.begun[job_id] - observer.accepted[
+            job_id
+        ] <= float(seconds), observer.begun.get(job_id)
 
     def expect_starts(self, least, most):
         assert int(least) <= self.cluster.observer.starts <= int(most), self.cluster.observer.starts
@@ -374,16 +444,24 @@
         assert max(sessions.values(), default=1) <= int(most), sessions
 
     def expect_running_all(self, prefix, count):
-        on = sum(len(places) for name, places in self.cluster.observer.on.items() if name.startswith("job-" + prefix))
+        on = sum(
+            len(places)
+            for name, places in self.cluster.observer.on.items()
+            if name.startswith("job-" + prefix)
+        )
         assert on == int(count), on
 
     def expect_written(self, kind, most):
         """No more keys than that were written below eg/l/<kind>."""
-        assert self.cluster.state.written.get("eg/l/" + kind, 0) <= int(most), self.cluster.state.written
+        assert self.cluster.state.written.get("eg/l/" + kind, 0) <= int(most), (
+            self.cluster.state.written
+        )
 
     def expect_accepted(self, job_id, seconds):
         observer = self.cluster.observer
-        assert observer.accepted[job_id] - observer.submitted[job_id] <= float(seconds), observer.accepted[job_id]
+        assert observer.accepted[job_id] - observer.submitted[job_id] <= float(seconds), (
+            observer.accepted[job_id]
+        )
 
     def expect_leases(self, most):
         """So many leases of the state service were ever asked for, at most."""
@@ -412,7 +490,11 @@
     """`expert`, `record`, `round`; figures worked out by hand in the scenario's comments."""
 
     def __init__(self, patch, tmp_path):
-        self.experts, self.sizer, self.options = [], None, {"epsilon": 0.1, "round": 5, "premium": 6.0, "boot": 10.0, "spread": 2.0, "share": 0.1}
+        self.experts, self.sizer, self.options = (
+            [],
+            None,
+            {"epsilon": 0.1, "round": 5, "premium": 6.0, "boot": 10.0, "spread": 2.0, "share": 0.1},
+        )
 
     def step(self, verb, words):
         if verb == "expert":
@@ -431,8 +513,15 @@
 
     def make(self):
         if self.sizer is None:
-            self.sizer = Sizer(tuple(self.experts), self.options["epsilon"], self.options["round"], self.options["premium"], self.options["spread"], self.options["share"],
-                               random.Random(1))
+            self.sizer = Sizer(
+                tuple(self.experts),
+                self.options["epsilon"],
+                self.options["round"],
+                self.options["premium"],
+                self.options["spread"],
+                self.options["share"],
+                random.Random(1),
+            )
 
     def expect_targets(self, *targets):
         assert self.sizer.targets[-1] == [int(t) for t in targets]
@@ -528,8 +617,15 @@
     def step(self, verb, words):
         if verb == "limits":
             self.limits = split(words)[1]
-            self.server = Server(("127.0.0.1", 0), lambda method, path, body, reply: reply(200, {}), 3.0, 30.0,
-                                 self.limits["most"], is_users, self.limits["users"])
+            self.server = Server(
+                ("127.0.0.1", 0),
+                lambda method, path, body, reply: reply(200, {}),
+                3.0,
+                30.0,
+                self.limits["most"],
+                is_users,
+                self.limits["users"],
+            )
             self.server.begin("test", 0.05)
         elif verb == "ask":
             connection = self.connect()
@@ -602,14 +698,19 @@
 
     def step(self, verb, words):
         if verb == "senders":
-            threads = [threading.Thread(target=self.send, args=(int(words[1]),)) for _ in range(int(words[0]))]
+            threads = [
+                threading.Thread(target=self.send, args=(int(words[1]),))
+                for _ in range(int(words[0]))
+            ]
             for thread in threads:
                 thread.start()
             for thread in threads:
                 thread.join()
         elif verb == "expect" and words[0] in ("counted", "greeted"):
             done = queue.SimpleQueue()
-            self.counter.on_ask = lambda: done.put(self.counter.value if words[0] == "counted" else self.counter.greetings)
+            self.counter.on_ask = lambda: done.put(
+                self.counter.value if words[0] == "counted" else self.counter.greetings
+            )
             self.counter.tell("ask")
             assert done.get(timeout=10) == int(words[1])
         else:
@@ -620,7 +721,13 @@
             (self.counter.tell if number % 3 == 0 else self.counter.hand)("add")
 
 
-KINDS = {"actors": ActorsScenario, "server": ServerScenario, "cluster": ClusterScenario, "sizing": SizingScenario, "settings": SettingsScenario}
+KINDS = {
+    "actors": ActorsScenario,
+    "server": ServerScenario,
+    "cluster": ClusterScenario,
+    "sizing": SizingScenario,
+    "settings": SettingsScenario,
+}
 
 
 def cases():
@@ -628,7 +735,10 @@
     played with a build that lacks this guard, the scenario has to break the rule on one of its seeds at least,
     since what the guard prevents often takes a narrow window."""
     for file in FILES:
-        name, rows = str(file.relative_to(HERE))[:-4], [line.split() for line in file.read_text().splitlines()]
+        name, rows = (
+            str(file.relative_to(HERE))[:-4],
+            [line.split() for line in file.read_text().splitlines()],
+        )
         seeds = next((row[1:] for row in rows if row[:1] == ["seeds"]), [None])
         for seed in seeds:
             yield pytest.param(file, seed, None, id=name + (f"-{seed}" if seed else ""))
@@ -645,7 +755,9 @@
         with monkeypatch.context() as patch:
             if guard[1] in play(file, number, guard[0], patch, tmp_path).cluster.observer.rules():
                 return
-    raise AssertionError(f"{file.name}: without the guard that {guard[0]} removes, {guard[1]} is not broken on any seed")
+    raise AssertionError(
+        f"{file.name}: without the guard that {guard[0]} removes, {guard[1]} is not broken on any seed"
+    )
 
 
 def play(file, seed, breakage, monkeypatch, tmp_path):
