--- a/emberglade/actors.py
+++ b/emberglade/actors.py
@@ -28,8 +28,8 @@
     def hand(self, message, *args):
         """Like `tell`, but in the caller's thread if the actor has nothing else to do just now.
 
-        It is still one message at a time, in the actor's own turn. Two changes of threads a report cost
-        more than the report.
+        It is still one message at a time, in the actor's own turn. Two changes of threads a report
+        cost more than the report.
         """
         if self._hand is None:
             self._post(0.0, message, args)
@@ -69,8 +69,9 @@
     def spawn(self, actors):
         """Begins all of these (actor, name). Each can be spoken to before any of them begins.
 
-        Once broken: a process that was back at once had its lease before the last actor had its mailbox, and
-        went on for ever with actors that had not been told who they are (actors/all_before_any.txt).
+        Once broken: a process that was back at once had its lease before the last actor had its
+        mailbox, and went on for ever with actors that had not been told who they are
+        (actors/all_before_any.txt).
         """
         for thread in [self._prepare(actor, name) for actor, name in actors]:
             thread.start()
--- a/emberglade/agents/exchange.py
+++ b/emberglade/agents/exchange.py
@@ -38,7 +38,9 @@
         self.deaf_now, self.hearing_now = [], []
 
     def on_ask_peers(self):
-        """Asks peers for all machines now and then, and more often for those whose tasks wait for proof."""
+        """Asks peers for all machines now and then, and more often for those whose tasks wait for
+        proof.
+        """
         now = self.now()
         often, interval = min(1.0, self.settings.report_s) / 4, max(1.0, self.settings.report_s / 2)
         lost = [
@@ -90,9 +92,11 @@
         )
 
     def rows(self, now, within, only=None):
-        """{machine: a Row's values} of what reported here lately, or ever if nobody has newer news of it.
+        """{machine: a Row's values} of what reported here lately, or ever if nobody has newer news
+        of it.
 
-        Workers go from node to node: without the latter half, each node would soon tell of them all.
+        Workers go from node to node: without the latter half, each node would soon tell of them
+        all.
         """
         rows, view = {}, self.detector.view
         for name, known in (
@@ -124,8 +128,8 @@
     def on_heard(self, question, reply):
         """A peer asks what is known here; answered from a copy synced after the question.
 
-        Without contact a sync may take longer than the peer waits; what the copy's revision says it needs at once
-        (meetings/gap_silent.txt).
+        Without contact a sync may take longer than the peer waits; what the copy's revision says it
+        needs at once (meetings/gap_silent.txt).
         """
         self.asked_by[question.asker] = self.now()
         if self.now() - self.contact > self.settings.lease_s / 4:
@@ -156,7 +160,8 @@
                 self.detector.told[name].copy_revision > self.revision >= 0
                 and self.now() - self.contact > self.settings.report_s / 2
             ):
-                # The state service is out of reach here. What it committed may be had from this peer.
+                # The state service is out of reach here. What it committed may be had from this
+                # peer.
                 self.peers[name].call(
                     "POST",
                     "/peer/changes",
@@ -186,7 +191,8 @@
         for names, text in (
             (
                 self.deaf_now,
-                "%d machines lost their lease although they were answered; they get no work until they hear us: %s%s",
+                "%d machines lost their lease although they were answered; "
+                "they get no work until they hear us: %s%s",
             ),
             (self.hearing_now, "%d machines hear us again: %s%s"),
         ):
@@ -230,12 +236,14 @@
         self.job_manager.tell("inventory", inventory)
 
     def on_silence(self, reply, tainted=False):
-        """`reply({machine: (heard, proven over, deaf, whether it ever was)}, slack)` for the leader; of tainted
-        machines only if so asked. Who was never heard counts from when this process began."""
+        """`reply({machine: (heard, proven over, deaf, whether it ever was)}, slack)` for the
+        leader; of tainted machines only if so asked. Who was never heard counts from when this
+        process began.
+        """
         now = self.now()
         result = {}
-        # Tables are older than what a peer would answer; that is not the machines' silence. Nor is it a
-        # sign of life.
+        # Tables are older than what a peer would answer; that is not the machines' silence. Nor is
+        # it a sign of life.
         slack = TABLE_S if self.detector.missing_peers(now) else 0.0
         for name in sorted(
             set(self.taints)
@@ -270,7 +278,8 @@
         self.job_manager.tell("demand", self.then("table_demand"))
 
     def needs_rows(self, now):
-        """Whether a live peer and this controller don't hear each other, so that only tables tell of machines.
+        """Whether a live peer and this controller don't hear each other, so that only tables tell
+        of machines.
 
         Rows of machines are most of a table, and tables were most of what a quiet cluster wrote.
         """
@@ -312,7 +321,9 @@
         self.member.tell("table", first, [{"t": number, "m": rows} for rows in places[1:]])
 
     def pack_rows(self, types, now, most, first_room):
-        """The machines' rows in dictionaries of at most `most` bytes each, the first of them `first_room`."""
+        """The machines' rows in dictionaries of at most `most` bytes each, the first of them
+        `first_room`.
+        """
         zones, places, room = self.settings.zones, [{}], first_room
         for name, (age_s, kind, zone, spot, session, tally, notice, deaf, addr) in self.rows(
             now, 2 * self.settings.lease_s
@@ -352,7 +363,8 @@
                 ),
             ]
             if len(values) != table["parts"] + 1:
-                return  # the rest is on its way; a row that is missing would pass for a machine never heard
+                # the rest is on its way; a row that is missing would pass for a machine never heard
+                return
             rows = {}
             for data in values:
                 for name, (age_s, kind, zone, *rest) in data["m"].items():
--- a/emberglade/agents/failure_detector.py
+++ b/emberglade/agents/failure_detector.py
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Statement:
-    """What a node said of all machines. It was made after `asked` and before `got`, by our clock."""
+    """What a node said of all machines. Made after `asked` and before `got`, by our clock."""
 
     asked: float
     got: float
@@ -49,6 +49,8 @@
 
 
 class FailureDetector:
+    """What this controller knows of all machines, from its own reports and from its peers."""
+
     def __init__(self, settings):
         self.settings = settings
         self.view = {}  # machine -> LastSeen
@@ -152,8 +154,8 @@
         """Whether every lease that a node may have renewed for this machine has run out.
 
         Each node states, from a copy that shows the taint, when it last heard or answered the
-        machine. For a node that can't be asked its own key speaks: without it, and with the taint in
-        its copy, it does not answer this machine, and with an older copy it answers nobody for
+        machine. For a node that can't be asked its own key speaks: without it, and with the taint
+        in its copy, it does not answer this machine, and with an older copy it answers nobody for
         longer than `blind_s` (docs/safety.md, 7).
         """
         limit = self.settings.lease_s * DRIFT + MARGIN_S
--- a/emberglade/agents/manager.py
+++ b/emberglade/agents/manager.py
@@ -44,7 +44,8 @@
     __slots__ = ("spec", "generation", "withdrawn", "withdrawn_at", "parts")
 
     def __init__(self, spec, generation):
-        # `withdrawn_at`: the revision at which the withdrawal was seen; `generation` of the layout of its parts
+        # `withdrawn_at`: the revision at which the withdrawal was seen; `generation` of the layout
+        # of its parts
         self.spec, self.withdrawn, self.withdrawn_at, self.parts = spec, False, 0, {}
         self.generation = generation
 
@@ -55,6 +56,8 @@
 
 
 class AgentManager(PeerExchange, Withdrawals, Follower):
+    """Answers workers' reports and commands their machines, out of the committed copy."""
+
     hears_contact = True
 
     def __init__(self, settings, store, job_manager, member, peers, workers):
@@ -70,7 +73,8 @@
         )
         self.known = {}
         self.jobs = {}  # job -> Entry
-        self.bound = {}  # machine -> {(job, task): (attempt, stop, revision at which the stop was seen, session)}
+        # machine -> {(job, task): (attempt, stop, revision at which the stop was seen, session)}
+        self.bound = {}
         self.touched = (
             set()
         )  # machines whose bindings or taint changed since their last report here
@@ -186,7 +190,9 @@
                 del self.loose[job_id]
 
     def take_loose(self, job_id, generation):
-        """{number: (data, stamp)} of the parts of this layout that were seen before the record named it."""
+        """{number: (data, stamp)} of the parts of this layout that were seen before the record
+        named it.
+        """
         loose = self.loose.get(job_id, {})
         taken = {number: loose.pop((of, number)) for of, number in list(loose) if of == generation}
         if not loose:
@@ -256,7 +262,8 @@
             return
         now = self.now()
         better = self.better_node(now)
-        # Peers that lose contact themselves answer questions late by up to what a sync may take (meetings/gap_silent.txt, 2).
+        # Peers that lose contact themselves answer questions late by up to what a sync may take
+        # (meetings/gap_silent.txt, 2).
         level_for = self.settings.lease_s / 4 + self.settings.report_s
         if better is not None and now - self.detector.level_since() > level_for:
             reply(421, wire.elsewhere(better))
@@ -317,8 +324,9 @@
             and report.notice_s is None
         )
         if more == START and better is not None and not commands:
-            # This node knows what the others know, but a start needs one that can sync. Nobody is sent away for
-            # less: a worker that can't reach the other loses its lease on the way (meetings/gap_silent.txt).
+            # This node knows what the others know, but a start needs one that can sync. Nobody is
+            # sent away for less: a worker that can't reach the other loses its lease on the way
+            # (meetings/gap_silent.txt).
             reply(421, wire.elsewhere(better))
         elif more:
             self.waited += 1
@@ -334,8 +342,9 @@
             self.answer(known, report, revision is not None, reply)
 
     def answer_late(self, now):
-        """A worker gives a report up after some seconds; one that the state service keeps waiting is
-        answered before, without what only a sync allows."""
+        """A worker gives a report up after some seconds; one that the state service keeps waiting
+        is answered before, without what only a sync allows.
+        """
         for number, (known, report, reply, since) in list(self.waiting.items()):
             if now - since > self.settings.report_s:
                 del self.waiting[number]
@@ -454,8 +463,8 @@
         machines = {}
         for job_id, task, attempt, machine, session in fresh:
             entry = self.jobs.get(job_id)
-            # Once broken: the binding and its stop came in one change, and the start went out all the
-            # same, with a token above the stop's (rules/stopped_in_one_change.txt).
+            # Once broken: the binding and its stop came in one change, and the start went out all
+            # the same, with a token above the stop's (rules/stopped_in_one_change.txt).
             want = self.bound.get(machine, {}).get((job_id, task))
             if (
                 want is None
@@ -605,10 +614,12 @@
     # --- who may answer
 
     def entitled(self, now):
-        """Whether no withdrawal that this copy lacks can have been told to its user longer than `blind_s` ago.
+        """Whether no withdrawal that this copy lacks can have been told to its user longer than
+        `blind_s` ago.
 
-        Either a sync was answered since, or every peer has stated since that its copy is no newer than this
-        one: whatever a controller tells a user is in its own copy before (docs/safety.md, 8).
+        Either a sync was answered since, or every peer has stated since that its copy is no newer
+        than this one: whatever a controller tells a user is in its own copy before (docs/safety.md,
+        8).
         """
         if self.revision < 0:
             return False
@@ -631,10 +642,10 @@
     def home_node(self, report, now):
         """A node in the worker's own zone that can take it, if it is not there already.
 
-        When a zone is cut off, its workers need their lease renewed by a node inside. Once broken: most
-        reported to nodes outside, and with five of them the search for the one inside took longer than a
-        lease (agents/zone_with_five.txt). A worker is sent once in four leases, so that one which can't
-        reach that node stays where it is heard.
+        When a zone is cut off, its workers need their lease renewed by a node inside. Once broken:
+        most reported to nodes outside, and with five of them the search for the one inside took
+        longer than a lease (agents/zone_with_five.txt). A worker is sent once in four leases, so
+        that one which can't reach that node stays where it is heard.
         """
         settings, name = self.settings, report.machine
         if (
--- a/emberglade/agents/wire.py
+++ b/emberglade/agents/wire.py
@@ -15,6 +15,8 @@
 
 @dataclass(slots=True)
 class Report:
+    """A worker's report; its tasks are read only when they are needed."""
+
     machine: str
     addr: str
     type: str
@@ -90,30 +92,37 @@
 
 
 def start(name, attempt):
+    """The command to start an attempt of a task."""
     return {"blast": "start", "ember": name, "strike": attempt}
 
 
 def halt(name, attempt, grace_s):
+    """The command to stop an attempt, with time to save."""
     return {"blast": "halt", "ember": name, "strike": attempt, "smother_s": grace_s}
 
 
 def is_halt(command):
+    """Whether a command stops a task."""
     return command["blast"] == "halt"
 
 
 def clear(name, attempt):
+    """The command to forget an attempt that has ended."""
     return {"blast": "clear", "ember": name, "strike": attempt}
 
 
 def answer(token, commands):
+    """The answer to a report."""
     return {"torch": token, "bellows": commands}
 
 
 def orders(token, session, commands):
+    """The body of direct commands to a worker of that session."""
     return {"torch": token, "kindling_span": session, "bellows": commands}
 
 
 def elsewhere(node):
+    """The body of a 421 that names the controller to report to, if there is one."""
     return {"firekeeper": node} if node else {}
 
 
@@ -139,6 +148,7 @@
 
 
 def question(asker, only):
+    """The body of a question to a peer; `only` names the machines that it is about."""
     return {"from": asker} if only is None else {"from": asker, "of": only}
 
 
@@ -165,11 +175,14 @@
 
 
 def statement(up_s, contact_s, revision, copy_revision, rows):
-    """`revision` is that of a sync asked for by the question, None if there was none; `copy_revision` that of the copy."""
+    """`revision` is that of a sync asked for by the question, None if there was none;
+    `copy_revision` that of the copy.
+    """
     return {"up": up_s, "contact": contact_s, "rev": revision, "copy": copy_revision, "known": rows}
 
 
 def withdrawal(job_id, revision):
+    """The body that tells a peer of a withdrawal committed at that revision."""
     return {"job": job_id, "rev": revision}
 
 
@@ -185,7 +198,8 @@
 
 
 def read_statement(data):
-    """(up_s, contact_s, revision or None, {machine: Row}, the copy's revision), or None when it is odd.
+    """(up_s, contact_s, revision or None, {machine: Row}, the copy's revision), or None when it is
+    odd.
 
     The last is -1 if the peer has no copy yet, or does not say.
     """
--- a/emberglade/agents/withdrawals.py
+++ b/emberglade/agents/withdrawals.py
@@ -1,9 +1,10 @@
-"""Halts of withdrawn jobs' tasks, sent directly to their machines and told to the other controllers.
+"""Halts of withdrawn jobs' tasks, sent directly to their machines and told to the other
+controllers.
 
-A withdrawal reaches a task in the next answer to its machine's report, if the controller that answers has seen
-it. One that the state service refuses has not, and its workers go on reporting to it. So the controller that
-confirms a withdrawal halts the tasks itself, and every other one that knows of it does so a little later if the
-record still shows them (docs/safety.md, 8).
+A withdrawal reaches a task in the next answer to its machine's report, if the controller that
+answers has seen it. One that the state service refuses has not, and its workers go on reporting to
+it. So the controller that confirms a withdrawal halts the tasks itself, and every other one that
+knows of it does so a little later if the record still shows them (docs/safety.md, 8).
 """
 
 import logging
@@ -18,14 +19,18 @@
 
 
 class Withdrawals:
-    """The part of the agents that sees to it that withdrawn tasks end, whoever their machines report to."""
+    """The part of the agents that sees to it that withdrawn tasks end, whoever their machines
+    report to.
+    """
 
     def __init__(self, settings):
         self.withdrawn = {}  # live withdrawn job -> from when on its tasks are halted directly
-        self.heard_withdrawn = {}  # job -> revision, told by a peer of what this copy does not show yet
+        # job -> revision, told by a peer of what this copy does not show yet
+        self.heard_withdrawn = {}
         self.halted = {}  # machine -> (session, when the last direct halt was sent)
         self.halting = set()  # machines whose answer to a direct halt is awaited
-        self.seen_off = {}  # withdrawn job -> {(task, attempt)} that its machine's own report shows ended
+        # withdrawn job -> {(task, attempt)} that its machine's own report shows ended
+        self.seen_off = {}
         # Machines that hang hold a thread each until they time out; starts need some as well.
         self.most_halting = max(2, settings.fd_limit // 128)
         self.held_back = False  # some halts wait for others to be answered
@@ -63,7 +68,9 @@
             self.press_halts(job_id)
 
     def on_hear_withdrawal(self, job_id, revision):
-        """A peer's word is enough to halt; that the job is withdrawn is told to users from the copy alone."""
+        """A peer's word is enough to halt; that the job is withdrawn is told to users from the copy
+        alone.
+        """
         if revision <= self.revision:
             return  # shown by the copy, if the job is not over by now
         self.heard_withdrawn[job_id] = revision
@@ -93,7 +100,9 @@
             self.press_halts(job_id)
 
     def press_halts(self, job_id):
-        """Sends what is still bound of the job a halt, again and again until its machine shows it ended."""
+        """Sends what is still bound of the job a halt, again and again until its machine shows it
+        ended.
+        """
         now, entry, machines = self.now(), self.jobs.get(job_id), {}
         if entry is None:
             return
@@ -124,8 +133,8 @@
     def send_halts(self, machine, session, addr, token):
         """All of this machine's withdrawn tasks in one message.
 
-        Its token is at least the revision of the withdrawal, so that no start from before it, on its way
-        however long, is accepted afterwards.
+        Its token is at least the revision of the withdrawal, so that no start from before it, on
+        its way however long, is accepted afterwards.
         """
         commands = []
         for (job_id, task), want in self.bound.get(machine, {}).items():
--- a/emberglade/config/operators.py
+++ b/emberglade/config/operators.py
@@ -51,6 +51,7 @@
 
 
 def load_operators(file):
+    """The operators' settings in a file, or the defaults; SettingsError if it is wrong."""
     if file is None:
         return Operators()
     from google.protobuf import text_format
@@ -80,7 +81,8 @@
     made = Operators(**found)
     if made.min_lookback_s < 1 or made.max_lookback_s < made.min_lookback_s:
         raise SettingsError(
-            f"{file}: max_lookback_s: {made.max_lookback_s!r} is not at least min_lookback_s, itself at least 1"
+            f"{file}: max_lookback_s: {made.max_lookback_s!r} is not at least min_lookback_s, "
+            "itself at least 1"
         )
     if made.cost_round_s < 1:
         raise SettingsError(f"{file}: cost_round_s: {made.cost_round_s!r} is not at least 1")
--- a/emberglade/config/platform.py
+++ b/emberglade/config/platform.py
@@ -13,6 +13,8 @@
 
 @dataclass(frozen=True)
 class Peer:
+    """Another controller."""
+
     name: str
     zone: str
     address: tuple
@@ -20,6 +22,8 @@
 
 @dataclass(frozen=True)
 class Team:
+    """A team with its guarantee and its limit; 0 means none."""
+
     name: str
     cpus: float = 0.0
     cpus_max: float = 0.0
@@ -33,6 +37,8 @@
 
 @dataclass(frozen=True)
 class Objective:
+    """An aim on starting or finishing the jobs of a class."""
+
     kind: str
     breed: str
     within_s: float | None
@@ -41,7 +47,9 @@
 
 @dataclass(frozen=True)
 class StateLimits:
-    """What the state service takes: requests and changes a second, bytes of a value, changes of a transaction."""
+    """What the state service takes: requests and changes a second, bytes of a value, changes of a
+    transaction.
+    """
 
     rps: float
     write_rps: float
@@ -62,8 +70,8 @@
 class Settings:
     """One controller's settings.
 
-    The `state_*` limits, `value_bytes` and `txn_ops` are the smaller of those in force now and those
-    announced in `settings.state.next`: the latter come into force without notice.
+    The `state_*` limits, `value_bytes` and `txn_ops` are the smaller of those in force now and
+    those announced in `settings.state.next`: the latter come into force without notice.
     """
 
     node: str
--- a/emberglade/fleet/autoscaler.py
+++ b/emberglade/fleet/autoscaler.py
@@ -51,6 +51,8 @@
 
 
 class Autoscaler(Follower):
+    """Sizes the fleet while this controller leads; otherwise only follows what the leader wrote."""
+
     def __init__(self, settings, operators, store, job_manager, agents, cloud):
         self.settings, self.operators = settings, operators
         self.store, self.job_manager, self.agents, self.cloud = store, job_manager, agents, cloud
@@ -158,7 +160,7 @@
         self.count_demand(now)
 
     def on_watch(self):
-        """Tasks of a silent machine wait for its lease to be proven over: that is asked more often."""
+        """Tasks of a silent machine wait for proof that its lease is over: asked more often."""
         self.after(self.settings.report_s / 6, "watch")
         if self.leading and any(
             taint == "lost" and name in self.occupied for name, taint in self.taints.items()
@@ -294,7 +296,8 @@
                 and quiet < self.settings.report_s * 2
                 and not deaf
             ):
-                # Once broken: a new leader took its own birth for a sign of life of the machines behind a cut.
+                # Once broken: a new leader took its own birth for a sign of life of the machines
+                # behind a cut.
                 if taint == "lost" or name not in self.occupied:
                     back.append(name)
             elif (
@@ -317,7 +320,9 @@
                 self.taint(names, taint)
 
     def taint(self, names, taint):
-        """Wishes for a taint. A machine has one wish at a time, so each is for the taint that it was seen with."""
+        """Wishes for a taint. A machine has one wish at a time, so each is for the taint that it
+        was seen with.
+        """
         self.wishes.update(
             (name, taint)
             for name in names
@@ -326,7 +331,9 @@
         self.write_taints()
 
     def write_taints(self):
-        """One transaction at a time, of all machines that anything is wished for: keys hold many taints."""
+        """One transaction at a time, of all machines that anything is wished for: keys hold many
+        taints.
+        """
         if self.tainting or not self.wishes or not self.leading:
             return
         values, self.tainting = self.taints.with_changes(
@@ -354,7 +361,8 @@
             return
         tainting, self.tainting = self.tainting, {}
         if status != 200:
-            # Others are wished for again as long as they are due; this one is the proof that came once.
+            # Others are wished for again as long as they are due; this one is the proof that came
+            # once.
             self.wishes.update(
                 (name, taint)
                 for name, taint in tainting.items()
@@ -451,8 +459,9 @@
     def serve_zones(self, now, name, machine_type):
         """Rents for tasks that can run in one zone only, where that zone has no room for them.
 
-        Once broken: enough machines by their count, all of them elsewhere, and such tasks waited for ever
-        (meetings/zone_bound.txt). Tables are some seconds old, so a shortage counts once it is seen twice.
+        Once broken: enough machines by their count, all of them elsewhere, and such tasks waited
+        for ever (meetings/zone_bound.txt). Tables are some seconds old, so a shortage counts once
+        it is seen twice.
         """
         short = {}
         for table in self.tables.values():
@@ -478,8 +487,8 @@
     def consolidate(self, name):
         """Empties a machine above the target that holds but a few replicas.
 
-        Replicas outlive all other work and end one by one, so machines stay that are mostly empty. A
-        move costs a replica a second or two, so few are moved, and only to where their image is.
+        Replicas outlive all other work and end one by one, so machines stay that are mostly empty.
+        A move costs a replica a second or two, so few are moved, and only to where their image is.
         """
         there = [m for m in self.machines.values() if m.type == name and self.counted(m)]
         ordinary, spot = sum(not m.spot for m in there), sum(m.spot for m in there)
@@ -510,7 +519,9 @@
             self.taint([machine], "drain")
 
     def rent(self, now, machine_type, spot, count, only=None):
-        """Asks for machines in the zone that has fewest, or in that one only; False when every zone refused lately."""
+        """Asks for machines in the zone that has fewest, or in that one only; False when every zone
+        refused lately.
+        """
         here = dict.fromkeys(machine_type.zones, 0)
         for machine in self.machines.values():
             if machine.zone in here and machine.spot == spot:
--- a/emberglade/fleet/taints.py
+++ b/emberglade/fleet/taints.py
@@ -11,6 +11,7 @@
 
 
 def key_of(machine):
+    """The key that keeps a machine's taint, unless it has no room."""
     return f"m/{zlib.crc32(machine.encode()) % KEYS}"
 
 
@@ -61,10 +62,12 @@
         return [(machine, row[0]) for machine, row in self.of.items()]
 
     def with_changes(self, wishes, value_bytes, most, may_move):
-        """({key: (stamp, {machine: taint})}, the wishes that they carry out); what finds no room waits.
+        """({key: (stamp, {machine: taint})}, the wishes that they carry out); what finds no room
+        waits.
 
-        At most `most` keys are written, none above `value_bytes`. A key that a smaller limit finds too large
-        passes taints on to others; `may_move`: whether every controller reads that rightly.
+        At most `most` keys are written, none above `value_bytes`. A key that a smaller limit finds
+        too large passes taints on to others; `may_move`: whether every controller reads that
+        rightly.
         """
         change = TaintChange(self, value_bytes, most)
         taken = {machine: taint for machine, taint in wishes.items() if change.put(machine, taint)}
@@ -114,7 +117,9 @@
         return True
 
     def key_with_room(self, machine, taint, full=None):
-        """The machine's own key, or else the first further one that has room; None if too many would be written."""
+        """The machine's own key, or else the first further one that has room; None if too many
+        would be written.
+        """
         need = size((machine, taint or ""))
         further = [f"m/{number}" for number in range(KEYS, KEYS + len(self.taints.keys) + 1)]
         for key in [key_of(machine), *further]:
--- a/emberglade/fleet/wire.py
+++ b/emberglade/fleet/wire.py
@@ -8,6 +8,8 @@
 
 @dataclass(frozen=True)
 class Listed:
+    """A machine as the cloud lists it."""
+
     name: str
     type: str
     zone: str
@@ -46,6 +48,7 @@
 
 
 def rent(request, machine_type, zone, spot, count):
+    """The body of a rental request."""
     return {
         "woodcall": request,
         "hearth_kind": machine_type,
@@ -56,15 +59,18 @@
 
 
 def give_back(names):
+    """The body of a return."""
     return {"hearths": names}
 
 
 def read_rented(body):
+    """The names of the machines rented, or None when the answer is odd."""
     names = body.get("hearths") if isinstance(body, dict) else None
     return [n for n in names if isinstance(n, str)] if isinstance(names, list) else None
 
 
 def list_path(after):
+    """The path that lists machines after one of them."""
     return f"/hosts?since={after}&limit=500"
 
 
--- a/emberglade/frontdoor/api.py
+++ b/emberglade/frontdoor/api.py
@@ -357,8 +357,9 @@
     def on_aborted(self, job_id, reply, tries, status, revision, failed):
         if status == 200:
             log.info("%s withdrawn by its user", job_id)
-            # Nothing is told that this controller's own copy does not show: others conclude from its revision
-            # that they miss nothing, and its halts go to every machine that the copy names.
+            # Nothing is told that this controller's own copy does not show: others conclude from
+            # its revision that they miss nothing, and its halts go to every machine that the copy
+            # names.
             self.store.tell("sync", self.then("abort_synced", job_id, reply, tries))
         elif status == 409 and tries < 8:
             # Its holder wrote in between.
--- a/emberglade/frontdoor/awaited.py
+++ b/emberglade/frontdoor/awaited.py
@@ -57,7 +57,9 @@
     # --- reading how needs ended
 
     def read_needs(self, needs, then):
-        """`then(NeedsRead)` once the final keys of these jobs are read, or as many as one request may read."""
+        """`then(NeedsRead)` once the final keys of these jobs are read, or as many as one request
+        may read.
+        """
         some = set(sorted(needs)[:MOST_READS])
         waiting = NeedsRead(set(some), then, failed=len(some) < len(needs))
         for need in some:
@@ -83,7 +85,9 @@
     # --- submissions
 
     def submit_dependent(self, spec, needs, reply):
-        """Accepts a job that awaits others, if these were accepted; the submission counts as open already."""
+        """Accepts a job that awaits others, if these were accepted; the submission counts as open
+        already.
+        """
         submission = DependentSubmission(spec, needs, reply)
         self.store.tell("sync", self.then("needs_synced", submission))
 
@@ -151,7 +155,9 @@
         self.write_pieces(submission, None)
 
     def write_pieces(self, submission, first_stamp):
-        """Writes what is left of the list, the first piece last, and then the job itself, which hangs on that one."""
+        """Writes what is left of the list, the first piece last, and then the job itself, which
+        hangs on that one.
+        """
         if not submission.pieces:
             self.write_waiting(submission, first_stamp)
             return
@@ -213,8 +219,9 @@
     # --- questions and cancellations
 
     def tell_waiting(self, job_id, reply):
-        """The state of a waiting job. A need of which the copy does not tell how it ended is asked for first: another
-        controller may have told that it is withdrawn."""
+        """The state of a waiting job. A need of which the copy does not tell how it ended is asked
+        for first: another controller may have told that it is withdrawn.
+        """
         if self.graph.waiting[job_id].withdrawn:
             reply(True, wire.state(job_id, Outcome.WITHDRAWN.value, 0, 0))
             return
--- a/emberglade/frontdoor/wire.py
+++ b/emberglade/frontdoor/wire.py
@@ -101,7 +101,9 @@
 
 
 def read_awaits(data):
-    """The ids of the jobs that a submission waits for, each once; Malformed if it is not a list of ids."""
+    """The ids of the jobs that a submission waits for, each once; Malformed if it is not a list of
+    ids.
+    """
     awaits = data.get("awaits")
     if awaits is None:
         return ()
@@ -113,6 +115,7 @@
 
 
 def state(job_id, glow, done=None, running=None):
+    """A job's state as its user is told."""
     answer = {"id": job_id, "glow": glow}
     if done is not None:
         answer["done"], answer["running"] = done, running
@@ -120,4 +123,5 @@
 
 
 def error(text):
+    """The body of an answer that refuses a request."""
     return {"error": text}
--- a/emberglade/jobs/dependencies.py
+++ b/emberglade/jobs/dependencies.py
@@ -26,7 +26,9 @@
 
 @dataclass(frozen=True)
 class Urgency:
-    """What the jobs that need a job lend to it: the highest rank, and the earliest time by which it is due."""
+    """What the jobs that need a job lend to it: the highest rank, and the earliest time by which it
+    is due.
+    """
 
     rank: int
     due: float
@@ -121,7 +123,8 @@
         if before is None or whole:
             touched.add(job_id)
             return
-        # The end of a job is written on condition of its record, so the last record seen tells how it ended.
+        # The end of a job is written on condition of its record, so the last record seen tells how
+        # it ended.
         self.resolve(job_id, Outcome.WITHDRAWN if before else Outcome.DONE)
 
     def _apply_waiting(self, job_id, data, stamp, touched):
@@ -227,7 +230,9 @@
             stack.extend(self.dependents.get(job_id, ()))
 
     def unresolved_before(self, job_id):
-        """The unresolved needs of a waiting job, its own and those of the waiting jobs that it needs."""
+        """The unresolved needs of a waiting job, its own and those of the waiting jobs that it
+        needs.
+        """
         if not self.unresolved:
             return set()
         found, seen, stack = set(), {job_id}, [job_id]
--- a/emberglade/jobs/manager.py
+++ b/emberglade/jobs/manager.py
@@ -1,7 +1,8 @@
-"""The job_manager of the jobs: every node's view of all live jobs, and the decisions on those it holds.
+"""The job_manager of the jobs: every node's view of all live jobs, and the decisions on those it
+holds.
 
-What is decided here is only wished for until the commit has succeeded; nothing leaves for a
-worker from here. Workers are commanded by the agents slice, out of the committed copy.
+What is decided here is only wished for until the commit has succeeded; nothing leaves for a worker
+from here. Workers are commanded by the agents slice, out of the committed copy.
 """
 
 import logging
@@ -35,13 +36,13 @@
 log = logging.getLogger("emberglade.jobs")
 
 
-# Leases that a machine rests after errors, or a job that fails everywhere: nobody may wait beside free room for much
-# longer than a minute.
+# Leases that a machine rests after errors, or a job that fails everywhere: nobody may wait beside
+# free room for much longer than a minute.
 MOST_REST = 4
 
 
 class JobManager(Scheduler, Releases, Relayout, Follower):
-    """Every controller's view of all live jobs, and the decisions on those whose shards it holds."""
+    """Every controller's view of all live jobs, and the decisions on those that it holds."""
 
     def __init__(self, settings, store):
         Scheduler.__init__(self, settings)
@@ -52,7 +53,8 @@
         self.size = part_size(settings.value_bytes)
         self.shards = shard_count(settings)
         self.jobs = {}
-        # Parts seen before their job, or of another layout than its own: {job: {(generation, number): (data, stamp)}}
+        # Parts seen before their job, or of another layout than its own: {job: {(generation,
+        # number): (data, stamp)}}
         self.loose_parts = {}
         self.holders = {}  # shard -> (node, incarnation, stamp)
         self.taints = Taints()
@@ -312,7 +314,9 @@
             self.touch(job, task)
 
     def obey_taints(self, machines):
-        """Moves own tasks off machines whose leases are proven over, and stops them where it drains."""
+        """Moves own tasks off machines whose leases are proven over, and stops them where it
+        drains.
+        """
         moved = {}
         for machine in machines:
             taint = self.taints.get(machine)
@@ -457,8 +461,9 @@
         )
 
     def turn_to_write(self, key):
-        """When a third of the machines is lost, nearly every job has to be written: higher ranks go a
-        little ahead, and nobody waits for ever."""
+        """When a third of the machines is lost, nearly every job has to be written: higher ranks go
+        a little ahead, and nobody waits for ever.
+        """
         job = self.jobs.get(key.split("/")[1])
         return self.dirty[key] + (
             job.spec.rank if job is not None else 0
@@ -508,7 +513,8 @@
             )
             if status == 400:
                 log.error(
-                    "the state service refuses a commit (%s); what it was to write is worked out anew: %s",
+                    "the state service refuses a commit (%s); "
+                    "what it was to write is worked out anew: %s",
                     failed,
                     " ".join(sorted(self.flight)[:8]),
                 )
@@ -537,8 +543,8 @@
         """Makes sure that a commit of unknown outcome is either applied by now or never will be.
 
         Once broken: it was applied late, when the room and the limit that it counted on had been
-        given to others (rules/late_commit.txt). All that it hangs on are the epochs of its shards, so
-        these are written anew.
+        given to others (rules/late_commit.txt). All that it hangs on are the epochs of its shards,
+        so these are written anew.
         """
         epochs = {
             (shard, holder[2])
@@ -621,8 +627,8 @@
     def parts_unused_condition(self, job_id):
         """What a removal of a job's parts hangs on.
 
-        A live job's own key is always there, so without it nobody needs its parts. Those of another layout are
-        needed by nobody but the holder, who alone may change the layout.
+        A live job's own key is always there, so without it nobody needs its parts. Those of another
+        layout are needed by nobody but the holder, who alone may change the layout.
         """
         job = self.jobs.get(job_id)
         if job is None:
@@ -634,7 +640,9 @@
             self.remains.update(some)
 
     def sweep_layouts(self):
-        """Parts of other layouts than a job's own: its holder removes them, unless it is writing them just now."""
+        """Parts of other layouts than a job's own: its holder removes them, unless it is writing
+        them just now.
+        """
         for job_id, loose in self.loose_parts.items():
             job = self.jobs.get(job_id)
             if job is not None and self.mine(job) and not self.is_laid_out_anew(job_id):
@@ -644,7 +652,7 @@
                 )
 
     def sweep(self):
-        """Parts that a crash left behind: one node removes those whose job is not there for long."""
+        """Parts that a crash left behind: one node removes those that had no job for long."""
         if not self.holds_first_shard():
             return
         now = self.now()
@@ -666,8 +674,9 @@
         self.after(0.5, "tick")
         for job in list(self.jobs.values()):
             self.settle(job)
-        # Once broken: the stops for a drained machine went with a commit that was not carried out, and nobody
-        # asked for them again; its tasks neither ran nor moved (rules/random_meetings_small_values.txt, 39).
+        # Once broken: the stops for a drained machine went with a commit that was not carried out,
+        # and nobody asked for them again; its tasks neither ran nor moved
+        # (rules/random_meetings_small_values.txt, 39).
         self.obey_taints(
             [
                 machine
@@ -687,8 +696,9 @@
     # --- questions of other slices
 
     def on_demand(self, reply):
-        """`reply({pool: machines}, {(type, spot, zone): machines})`: what own jobs ask for, in whole machines, and
-        what of it has no room in the only zone where it can run."""
+        """`reply({pool: machines}, {(type, spot, zone): machines})`: what own jobs ask for, in
+        whole machines, and what of it has no room in the only zone where it can run.
+        """
         own = [job for job in self.jobs.values() if self.mine(job) and not job.withdrawn]
         reply(
             placement.demand(
--- a/emberglade/jobs/record.py
+++ b/emberglade/jobs/record.py
@@ -20,11 +20,14 @@
 
 
 def job_key(job_id):
+    """The key of a live job."""
     return "j/" + job_id
 
 
 class PartKey(NamedTuple):
-    """The key of a further part. `generation` names the layout that it belongs to; the first has none."""
+    """The key of a further part. `generation` names the layout that it belongs to; the first has
+    none.
+    """
 
     job_id: str
     generation: str
@@ -32,6 +35,7 @@
 
 
 def part_key(job_id, number, generation=""):
+    """The key of a further part of a live job."""
     return f"t/{job_id}/{generation}/{number}" if generation else f"t/{job_id}/{number}"
 
 
@@ -42,6 +46,7 @@
 
 
 def over_key(job_id):
+    """The key of a job's final state, without its prefix."""
     return job_id
 
 
@@ -51,7 +56,9 @@
 
 
 def part_size_for(spec, value_bytes):
-    """Tasks of a part of this job, such that its first part fits a value; 0 if not even the description does."""
+    """Tasks of a part of this job, such that its first part fits a value; 0 if not even the
+    description does.
+    """
     free = value_bytes - len(orjson.dumps(spec.encode())) - RECORD_BYTES
     return max(0, min(part_size(value_bytes), free // BOUND_BYTES))
 
@@ -80,6 +87,8 @@
 
 @dataclass
 class Part:
+    """The tasks of a part: done, bound, and tried before."""
+
     done: set = field(default_factory=set)
     bound: dict = field(default_factory=dict)
     tried: dict = field(
@@ -110,6 +119,7 @@
 
 
 def to_ranges(numbers):
+    """Numbers as a list of [first, last]."""
     ranges = []
     for number in sorted(numbers):
         if ranges and ranges[-1][1] == number - 1:
@@ -120,6 +130,7 @@
 
 
 def from_ranges(ranges):
+    """The set of numbers in a list of [first, last]."""
     found = set()
     for first, last in ranges:
         found.update(range(first, last + 1))
@@ -213,7 +224,9 @@
         return self.spec.id
 
     def borrow_urgency(self, urgency):
-        """Takes the higher rank and the earlier due time of the jobs that need this one (None: nobody does)."""
+        """Takes the higher rank and the earlier due time of the jobs that need this one (None:
+        nobody does).
+        """
         own = self.request
         if urgency is None:
             self.spec = own
@@ -318,4 +331,5 @@
 
 
 def task_name(job_id, task):
+    """A task's name as workers know it."""
     return f"{job_id}/{task}"
--- a/emberglade/jobs/relayout.py
+++ b/emberglade/jobs/relayout.py
@@ -1,9 +1,9 @@
 """Lays a job's parts out anew when they may outgrow the values that the state service takes.
 
 Records written under larger limits stay readable, but their next version might be refused. The
-holder writes the new parts first, under keys of a generation of their own that nobody reads, and then switches
-the job's record to them in one conditional transaction. Until then nothing is decided about the job:
-facts about its tasks are repeated by reports, so none is lost.
+holder writes the new parts first, under keys of a generation of their own that nobody reads, and
+then switches the job's record to them in one conditional transaction. Until then nothing is decided
+about the job: facts about its tasks are repeated by reports, so none is lost.
 """
 
 import logging
@@ -54,7 +54,9 @@
         return self.layout_change is not None and self.layout_change.job_id == job_id
 
     def soon_relayout(self):
-        """Begins with the next job if none is on its way; those whose changes wait to be written go first."""
+        """Begins with the next job if none is on its way; those whose changes wait to be written go
+        first.
+        """
         if self.layout_change is not None or not self.format_raised or self.incarnation is None:
             return
         urgent = {key.split("/")[1] for key in self.dirty}
@@ -115,7 +117,8 @@
         elif status in NOT_EXECUTED:
             self.after(self.settings.report_s / 8, "write_layout_again", change)
         else:
-            # Perhaps carried out later; the next try uses keys of its own, and what is left over is removed.
+            # Perhaps carried out later; the next try uses keys of its own, and what is left over is
+            # removed.
             self.refused_layout(change, status, failed)
             self.end_layout_change()
 
@@ -123,7 +126,9 @@
         self.write_layout(change)
 
     def switch_layout(self, job, change):
-        """The switch is a commit like any other: nothing else is written until its outcome is known."""
+        """The switch is a commit like any other: nothing else is written until its outcome is
+        known.
+        """
         if self.flight is not None:
             self.after(self.settings.report_s / 40, "write_layout_again", change)
             return
--- a/emberglade/jobs/releases.py
+++ b/emberglade/jobs/releases.py
@@ -1,7 +1,8 @@
 """Releases waiting jobs whose needs are done, and ends those that are withdrawn with a need.
 
-Each is one transaction, conditional on the shard's epoch and on the waiting job's own key: it becomes a
-live job or gets its final state at once, and only one of the two. Applied late or twice, it changes nothing.
+Each is one transaction, conditional on the shard's epoch and on the waiting job's own key: it
+becomes a live job or gets its final state at once, and only one of the two. Applied late or twice,
+it changes nothing.
 """
 
 import logging
@@ -137,8 +138,10 @@
     # --- pieces of lists that nobody uses
 
     def sweep_lists(self):
-        """One controller removes pieces that no waiting job names for long: of attempts that came to nothing, or of
-        jobs that wait no more. The first piece goes first, since a job's key hangs on it."""
+        """One controller removes pieces that no waiting job names for long: of attempts that came
+        to nothing, or of jobs that wait no more. The first piece goes first, since a job's key
+        hangs on it.
+        """
         if not self.holds_first_shard():
             self.unused_lists = {}
             return
--- a/emberglade/jobs/scheduler.py
+++ b/emberglade/jobs/scheduler.py
@@ -10,7 +10,9 @@
 
 
 class Scheduler:
-    """The part of the job_manager that places; a round is played on its room and leaves only bindings."""
+    """The part of the job_manager that places; a round is played on its room and leaves only
+    bindings.
+    """
 
     place_due = False
     placed_at = preempted_at = float("-inf")
@@ -58,8 +60,8 @@
     def play(self, now, waiting, turn):
         """One round: takes room for everybody's waiting tasks in order, and binds its own.
 
-        Every holder plays the round through for all jobs, in the same order: room that a free machine
-        offers is not fought over by several nodes.
+        Every holder plays the round through for all jobs, in the same order: room that a free
+        machine offers is not fought over by several nodes.
         """
         wall = self.system.wall()
         teams = self.settings.teams
@@ -95,9 +97,10 @@
                 if most <= 0:
                     continue
                 if not self.mine(job):
-                    # What was often tried, of a job that gets nothing done, its holder may well be holding back. Others
-                    # are tried as often on a rough day; their room was given away, and made for them again
-                    # and again (rules/random_meetings_small_values.txt, 39).
+                    # What was often tried, of a job that gets nothing done, its holder may well be
+                    # holding back. Others are tried as often on a rough day; their room was given
+                    # away, and made for them again and again
+                    # (rules/random_meetings_small_values.txt, 39).
                     past = played.get(job.id, 0)
                     hopeful = job.bound_count() or job.done_count()
                     tasks = [
@@ -109,8 +112,8 @@
                 elif budget > 0:
                     budget -= self.place(job, job.waiting(now, most), turn, wall)
         self.preempt(now, waiting, turn)
-        # A round costs more the more there is; so that rounds leave time for reports, the next one comes no
-        # sooner than a few times what this one took, and a tenth of a report interval.
+        # A round costs more the more there is; so that rounds leave time for reports, the next one
+        # comes no sooner than a few times what this one took, and a tenth of a report interval.
         self.placed_at = self.now() + max(3 * (self.now() - now), self.settings.report_s / 10)
 
     def place(self, job, tasks, turn, wall):
@@ -155,16 +158,17 @@
         )
 
     def late_start(self, job, bound, now):
-        """Whether a task is the first sign of a job that waited that long: it is left alone for a while.
+        """Whether a task is the first sign of a job that waited that long: it is left alone for a
+        while.
 
-        Once broken: what had its turn was stopped for a higher rank before it began, had its turn again, and
-        so on; neither ran (meetings/turn_and_stop.txt).
+        Once broken: what had its turn was stopped for a higher rank before it began, had its turn
+        again, and so on; neither ran (meetings/turn_and_stop.txt).
         """
         age = self.system.wall() - job.spec.submitted - (now - bound.since)
         return now - bound.since < 4 * self.settings.lease_s < age / 2 and not job.done_count()
 
     def pressing(self, job, now):
-        """Whether a waiting job may have others stopped now: a deadline leaves room for patience."""
+        """Whether a waiting job may have others stopped now: a deadline allows patience."""
         spec = job.spec
         age = self.system.wall() - spec.submitted
         if spec.service:
@@ -270,8 +274,9 @@
             self.agents.tell("ask_stop", job.id, task, bound.attempt, SAVE, reason)
 
     def on_thin_machine(self, type_name, most, reply):
-        """`reply(machine, count)`: one that only holds up to `most` replicas, all of which would find
-        room with their image on other machines in use; `reply(None, 0)` if there is none."""
+        """`reply(machine, count)`: one that only holds up to `most` replicas, all of which would
+        find room with their image on other machines in use; `reply(None, 0)` if there is none.
+        """
         replicas = self.room.replicas
         rows = []
         for name, machine in self.inventory.items():
--- a/emberglade/jobs/waiting.py
+++ b/emberglade/jobs/waiting.py
@@ -1,8 +1,8 @@
 """A job that waits for others, as kept in the state service until it is released.
 
-It is kept apart from live jobs, so whatever reads live jobs knows nothing of it: it takes no part of
-its team's limit or guarantee and asks for no machines. A list of needs that is too long for one value
-is kept in pieces of its own, which are written before the job's key, the first of them last.
+It is kept apart from live jobs, so whatever reads live jobs knows nothing of it: it takes no part
+of its team's limit or guarantee and asks for no machines. A list of needs that is too long for one
+value is kept in pieces of its own, which are written before the job's key, the first of them last.
 """
 
 from dataclasses import dataclass, replace
@@ -16,7 +16,9 @@
 
 
 class PieceKey(NamedTuple):
-    """The key of one piece of a list of needs; `list_id` is unique to one attempt to submit the job."""
+    """The key of one piece of a list of needs; `list_id` is unique to one attempt to submit the
+    job.
+    """
 
     job_id: str
     list_id: str
@@ -24,10 +26,12 @@
 
 
 def waiting_key(job_id):
+    """The key of a waiting job."""
     return "w/" + job_id
 
 
 def piece_key(job_id, list_id, number):
+    """The key of one piece of a list of needs."""
     return f"x/{job_id}/{list_id}/{number}"
 
 
@@ -39,7 +43,7 @@
 
 @dataclass(frozen=True)
 class WaitingRecord:
-    """What a job's key under `w/` holds: the needs themselves, or in how many pieces they are kept."""
+    """What a job's key under `w/` holds: its needs, or in how many pieces they are kept."""
 
     spec: Spec
     needs: tuple = ()
@@ -83,7 +87,9 @@
 
 
 def released(spec, now):
-    """The spec of a job that may run from now on: times count from here, the due time stays what it was."""
+    """The spec of a job that may run from now on: times count from here, the due time stays what it
+    was.
+    """
     if spec.deadline_s is None:
         return replace(spec, submitted=round(now, 3))
     left = spec.submitted + spec.deadline_s - now
--- a/emberglade/main.py
+++ b/emberglade/main.py
@@ -9,6 +9,7 @@
 
 
 def main(arguments=None):
+    """Runs the command line; returns the exit code."""
     parser = argparse.ArgumentParser(
         prog="emberglade", description="One controller of an emberglade cluster."
     )
@@ -34,7 +35,8 @@
         return 2
     if options.command == "check":
         print(
-            f"{options.config}: node {settings.node} in {settings.zone}, {settings.size} nodes, {len(settings.teams)} teams: ok"
+            f"{options.config}: node {settings.node} in {settings.zone}, {settings.size} nodes, "
+            f"{len(settings.teams)} teams: ok"
         )
         if options.operators:
             print(f"{options.operators}: ok")
--- a/emberglade/membership/__init__.py
+++ b/emberglade/membership/__init__.py
@@ -1,4 +1,4 @@
-"""Membership: the leased node key, who holds which shard, who leads, the cluster's record format."""
+"""Membership: the leased node key, who holds which shard, who leads, the record format."""
 
 from .format import FORMAT_KEY, FormatUpgrade, is_raised
 from .member import Member, shard_count
--- a/emberglade/membership/format.py
+++ b/emberglade/membership/format.py
@@ -1,9 +1,9 @@
 """The cluster's record format: raised once, when every configured controller runs the new version.
 
-The version in production reads and rewrites records of format 1 only. Each controller of this version
-states under a key of its own that it also reads format 2, naming its process. Once the live process of every
-configured controller has done so, one transaction raises the format for good. It is conditional on all
-of these keys, so it can't follow a controller's return to the older version.
+The version in production reads and rewrites records of format 1 only. Each controller of this
+version states under a key of its own that it also reads format 2, naming its process. Once the live
+process of every configured controller has done so, one transaction raises the format for good. It
+is conditional on all of these keys, so it can't follow a controller's return to the older version.
 """
 
 import logging
@@ -90,7 +90,9 @@
         return process is not None and reader is not None and process[0] == reader[0]
 
     def raise_conditions(self):
-        """The keys that the raise hangs on; those of the processes, rewritten every few seconds, where there is room."""
+        """The keys that the raise hangs on; those of the processes, rewritten every few seconds,
+        where there is room.
+        """
         conditions = [(LIVE + FORMAT_KEY, self.format_stamp)]
         conditions += [(f"{LIVE}v/{name}", self.readers[name][1]) for name in self.settings.names]
         processes = [(f"{LIVE}n/{name}", self.processes[name][1]) for name in self.settings.names]
--- a/emberglade/membership/member.py
+++ b/emberglade/membership/member.py
@@ -20,10 +20,13 @@
 
 
 def shard_count(settings):
+    """How many shards the jobs are spread over."""
     return SHARDS_PER_NODE * settings.size
 
 
 class Member(Follower):
+    """Keeps this controller's lease and key, and claims shards and the lead."""
+
     def __init__(self, settings, store, listeners):
         self.settings, self.store = settings, store
         self.listeners = listeners  # actors told `identity(incarnation)`
@@ -77,7 +80,7 @@
             self.on_grant()
 
     def on_table(self, table, further):
-        """The 5 s table of counts and machines, from the agents; `further` holds what didn't fit."""
+        """The 5 s table of counts and machines; `further` holds what didn't fit."""
         self.table, self.further = table, further
         self.key_dirty = True
         self.write_key()
@@ -96,8 +99,8 @@
         if self.busy_key or self.lease is None or not self.key_dirty:
             return
         self.busy_key, self.key_dirty = True, False
-        # Values and transactions are limited, so a long table takes several keys and perhaps several
-        # transactions; who reads it waits until all parts of one number are there.
+        # Values and transactions are limited, so a long table takes several keys and perhaps
+        # several transactions; who reads it waits until all parts of one number are there.
         spare = max(0, self.parts_kept - len(self.further))
         self.parts_kept = len(self.further)
         self.parts = list(enumerate(self.further))
@@ -131,9 +134,11 @@
         if self.lost_lease(lease, status, failed):
             return
         if status == 400 and failed != state_wire.NO_SUCH_LEASE:
-            # Not the lease: asking for another would not help, and the next try would end the same way.
+            # Not the lease: asking for another would not help, and the next try would end the same
+            # way.
             log.error(
-                "the state service refuses this node's table (%s); its machines are told directly only",
+                "the state service refuses this node's table (%s); "
+                "its machines are told directly only",
                 failed,
             )
         elif status != 200:
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -24,6 +24,8 @@
 
 @dataclass
 class Node:
+    """The actors of one controller."""
+
     store: Store
     job_manager: JobManager
     member: Member
@@ -103,13 +105,14 @@
         self.calls = max(1, every // 8)  # kept connections to workers, for direct commands
         self.callers = max(2, min(every // 64, 64))  # each may wait for a machine that hangs
         self.internal = max(2, min(every // 16, 8 * settings.size))
-        # A controller that stands alone has to hold all workers; the rest is for links, listeners and
-        # what the platform itself needs.
+        # A controller that stands alone has to hold all workers; the rest is for links, listeners
+        # and what the platform itself needs.
         self.front = max(2, min(every * 3 // 4, MOST_THREADS - self.internal - self.callers))
         self.users = max(1, self.front // 3)
         if every < 64:
             log.warning(
-                "settings.quota.fd_limit: %d is little: %d connections of workers and users, %d of peers",
+                "settings.quota.fd_limit: %d is little: "
+                "%d connections of workers and users, %d of peers",
                 every,
                 self.front,
                 self.internal,
@@ -117,10 +120,12 @@
 
 
 def is_users(path):
+    """Whether a path is one that users ask for."""
     return path.startswith("/submissions")
 
 
 def serve(settings, operators):
+    """Runs a controller until the process ends."""
     threading.stack_size(256 * 1024)
     # Records and reports hold no cycles worth speaking of; looking through all of them as often as
     # Python does by default took a tenth of the processor at 600 machines.
--- a/emberglade/placement/demand.py
+++ b/emberglade/placement/demand.py
@@ -45,7 +45,8 @@
 
 
 def zone_shortage(jobs, room, usable, types):
-    """{(type, spot, zone): machines} for tasks that can run in one zone only and find no room there.
+    """{(type, spot, zone): machines} for tasks that can run in one zone only and find no room
+    there.
 
     The counts above don't say where: with idle machines elsewhere no more would be rented, ever.
     """
--- a/emberglade/placement/headroom.py
+++ b/emberglade/placement/headroom.py
@@ -5,7 +5,8 @@
 
 
 def headroom(jobs, objectives, types, wall):
-    """[(a job, tasks like it expected within a boot time)], by image, for classes with a `wait` aim.
+    """[(a job, tasks like it expected within a boot time)], by image, for classes with a `wait`
+    aim.
 
     By image, since room on a machine that would have to fetch the image first is no help.
     """
--- a/emberglade/placement/images.py
+++ b/emberglade/placement/images.py
@@ -2,6 +2,8 @@
 
 
 class ImageCaches:
+    """Which images each machine is expected to have cached."""
+
     def __init__(self):
         self.machines = {}
 
--- a/emberglade/placement/preempt.py
+++ b/emberglade/placement/preempt.py
@@ -3,7 +3,8 @@
 Work of a lower rank may be stopped for work of a higher; work of a team beyond its guarantee, of
 any rank, for a team within its own. Nothing else is ever stopped to make room.
 
-A row is (job, task, bound); `rows` are {machine: [row, ...]}, each machine's in the order in which they go.
+A row is (job, task, bound); `rows` are {machine: [row, ...]}, each machine's in the order in which
+they go.
 """
 
 from .types import SLACK
@@ -32,10 +33,12 @@
 
 
 def turn_to_go(row, fresh):
+    """The key by which possible victims are ordered."""
     return cost(row[0].spec, fresh), row[0].id, row[1]
 
 
 def may_stop(spec, victim, room, teams):
+    """Whether PROTOCOL allows stopping a task of `victim` to make room for one of `spec`."""
     if victim.rank > spec.rank:
         return True
     mine, theirs = teams.get(spec.team), teams.get(victim.team)
@@ -81,8 +84,8 @@
 def finds_place(job, victims, turn):
     """Whether a machine has room for one task once the victims are gone.
 
-    Once broken: others of the team were stopped for a task that no machine could take, were placed again, and
-    stopped again (meetings/preempts_in_vain.txt).
+    Once broken: others of the team were stopped for a task that no machine could take, were placed
+    again, and stopped again (meetings/preempts_in_vain.txt).
     """
     spec, room = job.spec, turn.room
     zones, known = room.zones_of(job)
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -9,6 +9,8 @@
 
 @dataclass(frozen=True)
 class Machine:
+    """A machine as placing sees it."""
+
     name: str
     type: MachineType
     zone: str
@@ -174,7 +176,8 @@
         if spec.service:
             # Replicas live long: on few machines they keep few from going back.
             return missing, -room.replicas[name], *last
-        # Where replicas are, their images are: that room is for more of them, who can't wait for one.
+        # Where replicas are, their images are: that room is for more of them, who can't wait for
+        # one.
         return room.replicas[name] > 0, missing, *last
 
     @staticmethod
@@ -182,7 +185,7 @@
         return spec.cpus, spec.gpus, spec.ram, spec.spot, spec.types, spec.zone
 
     def most(self, spec):
-        """At most so many tasks may find room: a cheap question that saves most jobs the dear ones."""
+        """At most so many tasks may find room: a cheap look that saves most jobs a dear one."""
         if not (spec.one_zone or spec.scatter) and self.needs(spec) in self.full:
             return 0
         return self.room.more_within_limit(spec)
@@ -204,8 +207,8 @@
         ]
         most = (spec.tasks + 1) // 2
         ordered = [name for _, name in sorted((self.score(spec, name), name) for name in fitting)]
-        # A service's replicas go to a machine each where they can: what a machine's loss costs is less,
-        # and more machines hold the image for those that come later.
+        # A service's replicas go to a machine each where they can: what a machine's loss costs is
+        # less, and more machines hold the image for those that come later.
         at_once = 1 if spec.service else count
         while ordered and len(found) < count:
             again = []
--- a/emberglade/placement/types.py
+++ b/emberglade/placement/types.py
@@ -7,6 +7,8 @@
 
 @dataclass(frozen=True)
 class MachineType:
+    """A machine type of the catalog."""
+
     name: str
     cpus: float
     gpus: float
@@ -36,10 +38,12 @@
 
 
 def read_types(data):
+    """{name: MachineType} of the catalog's key."""
     return {row[0]: MachineType(*row[:9], tuple(row[9])) for row in data["types"]}
 
 
 def write_types(types):
+    """The value of the catalog's key."""
     return {
         "types": [
             [
@@ -60,4 +64,5 @@
 
 
 def fits_some_type(spec, types):
+    """Whether a task fits an empty machine of some type."""
     return any(t.allows(spec) for t in types.values())
--- a/emberglade/sizing/sizer.py
+++ b/emberglade/sizing/sizer.py
@@ -13,6 +13,8 @@
 
 @dataclass(frozen=True)
 class Expert:
+    """A rule that turns recent demand into a target."""
+
     lookback_s: int
     percentile: int
     multiplier: float
@@ -42,6 +44,8 @@
 
 
 class Sizer:
+    """Weighs the experts by what they would have cost, and draws one each round."""
+
     def __init__(self, experts, epsilon, round_s, premium, spread, share, rng):
         self.spread, self.share = spread, share
         self.experts, self.epsilon, self.round_s, self.premium, self.rng = (
@@ -73,7 +77,7 @@
         return row
 
     def costs(self, boot_s):
-        """What each expert would have cost in the round that just ended, or None without history."""
+        """What each expert would have cost in the last round, or None without history."""
         back = max(1, math.ceil(boot_s / self.round_s))
         if len(self.targets) < back or len(self.history) < self.round_s:
             return None
--- a/emberglade/state/store.py
+++ b/emberglade/state/store.py
@@ -22,6 +22,8 @@
 
 
 class Store(Actor):
+    """The only way to the state service: paces requests and keeps the copy in step."""
+
     def __init__(self, settings, link):
         self.settings = settings
         self.link = link
@@ -51,8 +53,8 @@
         # Requests that nobody answered may still hold a thread; bounded in time.
         self.patience = min(settings.lease_s / 4, 3.0)
         self.flight_cap = 6
-        # What a peer that the state service refuses may still learn here. It asks every second or so, and a
-        # lease's worth of changes at the full rate is far more than come in between.
+        # What a peer that the state service refuses may still learn here. It asks every second or
+        # so, and a lease's worth of changes at the full rate is far more than come in between.
         self.recent = deque(maxlen=max(64, int(settings.state_write_rps * settings.lease_s)))
         self.recent_after = -1  # `recent` holds all changes after this revision
 
@@ -131,14 +133,18 @@
     # --- what peers learn from each other while the state service is out of reach
 
     def on_changes_for_peer(self, since, reply):
-        """The changes after `since`, as the state service would tell them; 410 if they are not all here."""
+        """The changes after `since`, as the state service would tell them; 410 if they are not all
+        here.
+        """
         if self.revision < 0 or since < self.recent_after or since > self.revision:
             reply(410, {"error": "not all of these changes are kept here"})
             return
         reply(200, wire.news([row for row in self.recent if row[2] > since], self.revision))
 
     def on_changes_of_peer(self, since, status, body):
-        """Committed changes, whoever tells of them. They show nothing about contact: a peer's copy may lag."""
+        """Committed changes, whoever tells of them. They show nothing about contact: a peer's copy
+        may lag.
+        """
         news = wire.read_news(body) if status == 200 else None
         if news is not None and 0 <= since <= self.revision:
             self.apply([(LIVE + key, data, stamp) for key, data, stamp in news[0]], news[1])
@@ -151,7 +157,7 @@
     # --- the read barrier
 
     def on_sync(self, reply):
-        """`reply(revision)` once the copy shows all changes up to now, `reply(None)` if it can't."""
+        """`reply(revision)` once the copy shows all changes up to now, else `reply(None)`."""
         self.sync_next.append(reply)
         if self.revision >= 0:
             self.soon_sync()
@@ -209,7 +215,9 @@
     # --- single requests
 
     def on_commit(self, rank, conditions, writes, reply):
-        """`reply(status, revision, failed)`; keys are full names. `failed`: the keys, or what was wrong."""
+        """`reply(status, revision, failed)`; keys are full names. `failed`: the keys, or what was
+        wrong.
+        """
         self.send(
             rank,
             len(writes),
@@ -269,10 +277,11 @@
         self.after(self.idle_gap / 2, "tick")
 
     def lines(self, now):
-        """The queues in the order in which they are served: by rank, but for a submission that waited long.
+        """The queues in the order in which they are served: by rank, but for a submission that
+        waited long.
 
-        Once broken: while a third of all machines was lost, decisions took all writes for seconds, and every
-        submission of that time was answered too late (fleet/third_dies.txt).
+        Once broken: while a third of all machines was lost, decisions took all writes for seconds,
+        and every submission of that time was answered too late (fleet/third_dies.txt).
         """
         submissions = self.queue[SUBMISSIONS]
         if (
--- a/emberglade/state/token_bucket.py
+++ b/emberglade/state/token_bucket.py
@@ -5,6 +5,8 @@
 
 
 class TokenBucket:
+    """Paces one kind of request."""
+
     def __init__(self, rate, nodes, burst):
         self.share, self.most = rate / nodes, max(rate / nodes, rate * CAUTION)
         self.rate = self.share
--- a/emberglade/state/wire.py
+++ b/emberglade/state/wire.py
@@ -4,33 +4,40 @@
 
 
 def get_path(key):
+    """The path of one key."""
     return "/store/" + key
 
 
 def list_path(prefix, after, limit):
+    """The path that lists keys in order."""
     tail = f"&since={urllib.parse.quote(after, safe='/')}" if after else ""
     return f"/store?under={urllib.parse.quote(prefix, safe='/')}{tail}&limit={limit}"
 
 
 def follow_path(prefix, since, wait_ms):
+    """The path that tells of changes after a revision."""
     return f"/follow?under={urllib.parse.quote(prefix, safe='/')}&since={since}&wait_ms={wait_ms}"
 
 
 def put(key, data, lease=None):
+    """The change that writes a key."""
     return (
         {"put": key, "data": data} if lease is None else {"put": key, "data": data, "tenure": lease}
     )
 
 
 def remove(key):
+    """The change that removes a key."""
     return {"remove": key}
 
 
 def txn(conditions, writes):
+    """The body of a transaction."""
     return {"when": [{"key": key, "stamp": stamp} for key, stamp in conditions], "writes": writes}
 
 
 def revision(body):
+    """The revision that an answer names, or None."""
     value = body.get("ledger_rev") if isinstance(body, dict) else None
     return value if isinstance(value, int) else None
 
@@ -75,6 +82,7 @@
 
 
 def since(revision):
+    """The body of a question for the changes after a revision."""
     return {"since": revision}
 
 
--- a/emberglade/transport.py
+++ b/emberglade/transport.py
@@ -18,6 +18,7 @@
 
 
 def parse_address(text):
+    """(host, port) of a text like 10.0.0.1:8080."""
     host, _, port = text.rpartition(":")
     return host, int(port)
 
@@ -139,8 +140,8 @@
 class Pool:
     """Threads that carry calls to many addresses over kept connections.
 
-    A machine that hangs holds a thread for a whole timeout, so there are as many as may hang together
-    while the others' calls go on.
+    A machine that hangs holds a thread for a whole timeout, so there are as many as may hang
+    together while the others' calls go on.
     """
 
     def __init__(self, threads, connections, name):
@@ -280,7 +281,8 @@
         extra = f"Retry-After: {retry}\r\n" if retry is not None else ""
         close = "Connection: close\r\n" if self.close_connection else ""
         head = (
-            f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\nContent-Type: application/json\r\n"
+            f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\n"
+            "Content-Type: application/json\r\n"
             f"Content-Length: {len(payload)}\r\n{extra}{close}\r\n"
         )
         self.wfile.write(head.encode() + payload)
@@ -290,7 +292,8 @@
     """`route(method, path, body, reply)` must lead to one `reply(status, data, retry_after)`.
 
     At most `most` connections are open. Those on which a path came that is `sparing` are at most
-    `most_sparing` of them: past that they are told so and closed, and the rest stays for the others.
+    `most_sparing` of them: past that they are told so and closed, and the rest stays for the
+    others.
     """
 
     daemon_threads = True
--- a/tests/breakages.py
+++ b/tests/breakages.py
@@ -32,24 +32,29 @@
 
 
 def no_limits(patch):
+    """Teams have no limits."""
     patch.setattr(Room, "more_within_limit", lambda self, spec: spec.tasks)
 
 
 def any_zone(patch):
+    """The zones of a job's other tasks don't matter."""
     patch.setattr(Room, "zones_of", lambda self, job: ({}, True))
 
 
 def deaf_to_cancellations(patch):
+    """No agent manager sees a withdrawal."""
     patch.setattr(AgentManager, "see_withdrawal", lambda self, job_id, entry, revision: None)
 
 
 def forgets_the_final_state(patch):
+    """A final key is never found."""
     patch.setattr(
         Api, "on_look_read", lambda self, job_id, reply, status, data, stamp: reply(False, None)
     )
 
 
 def answers_for_any_id(patch):
+    """Any id is taken for a job's."""
     patch.setattr(
         Api,
         "on_polled",
@@ -58,6 +63,7 @@
 
 
 def done_too_early(patch):
+    """A job counts as done when half of it is."""
     patch.setattr(
         Job,
         "finished",
@@ -70,6 +76,7 @@
 
 
 def withdrawn_becomes_done(patch):
+    """Final states are mixed up."""
     patch.setattr(
         Api,
         "on_look_read",
@@ -80,6 +87,7 @@
 
 
 def starts_nothing(patch):
+    """Nothing is ever placed."""
     patch.setattr(JobManager, "on_place", lambda self: None)
 
 
@@ -288,5 +296,7 @@
 
 
 def trusts_its_copy(patch):
-    """A need that the copy does not show counts as one that still goes on, without a look at its final key."""
+    """A need that the copy does not show counts as one that still goes on, without a look at its
+    final key.
+    """
     patch.setattr(DependencyGraph, "unresolved_before", lambda self, job_id: set())
--- a/tests/stand_ins/cloud.py
+++ b/tests/stand_ins/cloud.py
@@ -10,6 +10,8 @@
 
 
 class Cloud:
+    """Rents machines, lists them late, and takes some back."""
+
     def __init__(self, world, plan, workers, observer, nodes):
         self.world, self.plan, self.settings, self.observer, self.nodes = (
             world,
@@ -257,7 +259,9 @@
         }
 
     def send(self, reports=None):
-        """`reports`: how many had been sent when this one was planned; another in between takes its place."""
+        """`reports`: how many had been sent when this one was planned; another in between takes its
+        place.
+        """
         if self.hung:
             self.world.at(0.5, self.send, reports)
             return
--- a/tests/stand_ins/cluster.py
+++ b/tests/stand_ins/cluster.py
@@ -51,6 +51,8 @@
 
 
 class Cluster:
+    """Controllers, state service, cloud, workers and users of one scenario."""
+
     def __init__(self, seed, zones=("a", "b", "c"), teams=None, production=(), **limits):
         self.world = World(seed)
         self.zones = zones
@@ -281,7 +283,9 @@
         )
 
     def cancel_now(self, count, hang_s):
-        """Users call off that many running jobs within a fifth of a second; some of their machines hang."""
+        """Users call off that many running jobs within a fifth of a second; some of their machines
+        hang.
+        """
         observer, rng = self.observer, self.world.random
         running = sorted(
             {name.rpartition("/")[0] for name, places in observer.on.items() if places}
@@ -304,7 +308,9 @@
                     self.cloud.machines[machine].hang(hang_s)
 
     def job_ended(self, job_id):
-        """The last task of an array has just completed: its user may call it off, ask, and submit it again."""
+        """The last task of an array has just completed: its user may call it off, ask, and submit
+        it again.
+        """
         rng = self.world.random
         if self.world.now < self.cancels_at_end[1] and rng.random() < self.cancels_at_end[0]:
             self.asked_at_end += 1
@@ -337,7 +343,9 @@
         )
 
     def odd_requests(self, seconds):
-        """Repeats with another body, cancellations of what is done, jobs that fit nowhere or lack a field."""
+        """Repeats with another body, cancellations of what is done, jobs that fit nowhere or lack a
+        field.
+        """
         rng, observer = self.world.random, self.observer
         for number in range(int(seconds)):
             self.world.at(
--- a/tests/stand_ins/faults.py
+++ b/tests/stand_ins/faults.py
@@ -2,7 +2,9 @@
 
 
 def draw(cluster, jobs, faults, until, mass=0, pipelines=0.0):
-    """`mass` of the troubles take a share of all machines at once; `pipelines` of the jobs await one to three others."""
+    """`mass` of the troubles take a share of all machines at once; `pipelines` of the jobs await
+    one to three others.
+    """
     world, rng = cluster.world, cluster.world.random
     earlier = []
     for number in range(jobs):
@@ -71,7 +73,9 @@
 
 
 def draw_meetings(cluster, jobs, count, until, pipelines=0.0):
-    """Random work, and so many meetings of two to four troubles within a few seconds; returns when all is quiet."""
+    """Random work, and so many meetings of two to four troubles within a few seconds; returns when
+    all is quiet.
+    """
     world, rng = cluster.world, cluster.world.random
     draw(cluster, jobs, 0, until * 0.8, pipelines=pipelines)
     end = 0.0
@@ -90,6 +94,7 @@
 
 
 def meet(cluster, kind, seconds):
+    """One trouble of a meeting begins."""
     world, rng, state, cloud = cluster.world, cluster.world.random, cluster.state, cluster.cloud
     lead = state.keys.get("eg/l/lead")
     node = lead[0]["node"] if lead is not None and rng.random() < 0.6 else rng.choice(cluster.names)
@@ -146,6 +151,7 @@
 
 
 def strike_many(cluster):
+    """A trouble that takes a share of all machines."""
     rng, cloud = cluster.world.random, cluster.cloud
     count = int(rng.uniform(0.1, 0.35) * len(cloud.machines))
     kind = rng.randrange(5)
@@ -166,6 +172,7 @@
 
 
 def strike(cluster):
+    """One trouble at random."""
     world, rng, state, cloud = cluster.world, cluster.world.random, cluster.state, cluster.cloud
     node = rng.choice(cluster.names)
     machines = [m.name for m in cloud.machines.values() if m.up]
--- a/tests/stand_ins/observer.py
+++ b/tests/stand_ins/observer.py
@@ -2,6 +2,8 @@
 
 
 class Observer:
+    """Follows tasks and answers, and notes each broken rule."""
+
     def __init__(self, world, cancel_s, teams):
         self.world, self.cancel_s, self.teams = world, cancel_s, teams
         self.jobs = {}  # job -> submission, once a user has tried to submit it
@@ -152,7 +154,9 @@
         self.world.at(1.0, self.sweep)
 
     def look_for_waiting(self):
-        """Once all troubles are over, no task waits for 90 s that a machine has room for, within its team's limit."""
+        """Once all troubles are over, no task waits for 90 s that a machine has room for, within
+        its team's limit.
+        """
         there = {}  # job -> its tasks that are on machines or on their way
         use = dict.fromkeys(self.teams, 0.0)
         for machine in self.machines.values():
@@ -201,7 +205,9 @@
             self.breach("accepted_odd", f"{job_id} is accepted")
 
     def served(self):
-        """What of each class, team and of each class's largest jobs began (the largest: in four minutes)."""
+        """What of each class, team and of each class's largest jobs began (the largest: in four
+        minutes).
+        """
         groups = {}
         for job_id in self.accepted:
             job = self.jobs[job_id]
--- a/tests/stand_ins/production.py
+++ b/tests/stand_ins/production.py
@@ -1,7 +1,8 @@
-"""Controllers of the version in production, written from its behaviour: what it reads, and what it can't.
+"""Controllers of the version in production, written from its behaviour: what it reads, and what it
+can't.
 
-It follows only the keys that it knows, reads exactly the columns of its own records, and announces no
-format. Whatever it couldn't read or would rewrite wrongly fails the scenario.
+It follows only the keys that it knows, reads exactly the columns of its own records, and announces
+no format. Whatever it couldn't read or would rewrite wrongly fails the scenario.
 """
 
 KEYS = ("lead", "catalog")
@@ -16,11 +17,14 @@
 
 
 def knows(key):
+    """Whether the version in production follows a key."""
     return key in KEYS or key.startswith(PREFIXES)
 
 
 def check(key, data, sizes):
-    """Raises Unreadable unless production reads the value rightly; `sizes` holds each job's part size so far."""
+    """Raises Unreadable unless production reads the value rightly; `sizes` holds each job's part
+    size so far.
+    """
     if data is None:
         if key.startswith("j/"):
             sizes.pop(key[2:], None)
--- a/tests/stand_ins/state.py
+++ b/tests/stand_ins/state.py
@@ -6,6 +6,8 @@
 
 
 class StateService:
+    """The keys, their revisions, and what is refused."""
+
     def __init__(self, world, rps, write_rps, value_bytes, txn_ops):
         self.world = world
         self.rps, self.write_rps, self.value_bytes, self.txn_ops = (
@@ -31,7 +33,8 @@
         self.late_applied = 0  # of those, how many changed something
         self.odd = 0.0  # chance of a strange answer
         self.fallen = False  # whether the limits fell: what is too large is refused from then on
-        self.refused_sizes = []  # (who, key) of the values and transactions refused for their size since
+        # (who, key) of the values and transactions refused for their size since
+        self.refused_sizes = []
         self.largest = {}  # who -> bytes of the largest value written
         world.hosts["state"] = self.handle
 
--- a/tests/stand_ins/world.py
+++ b/tests/stand_ins/world.py
@@ -10,6 +10,8 @@
 
 
 class World:
+    """The clock, the events to come, and the network between hosts."""
+
     def __init__(self, seed):
         self.random = random.Random(seed)
         self.now = 0.0
@@ -18,9 +20,11 @@
         self.hosts = {}  # name -> handler(method, path, body, source, reply) or None while down
         self.cuts = []  # [first set of hosts, second set, until, mode]
         self.mutes = []  # [from these hosts, to those, until]: lost in this direction alone
-        self.closed = []  # [these hosts, to those, until]: can't open connections, while the other way works
+        # [these hosts, to those, until]: can't open connections, while the other way works
+        self.closed = []
         self.repeat = 0.0  # chance that a request arrives a second time, late
-        self.copies = None  # (path, chance, least delay, most delay, hosts): copies that come late, to any of them
+        # (path, chance, least delay, most delay, hosts): copies that come late, to any of them
+        self.copies = None
         self.slow = 0.0  # most that a message takes longer
         self.loss = 0.0  # chance that a message is lost
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -27,6 +27,7 @@
 
 
 def value(text):
+    """A word of a scenario as the value that it stands for."""
     if text in ("null", "true", "false"):
         return {"null": None, "true": True, "false": False}[text]
     try:
@@ -39,6 +40,7 @@
 
 
 def split(words):
+    """(plain words, {name: value}) of a line's words."""
     plain = [w for w in words if "=" not in w]
     return plain, {k: value(v) for k, _, v in (w.partition("=") for w in words if "=" in w)}
 
@@ -112,14 +114,18 @@
         return self.named.get(word, word)
 
     def do_name(self, word, who):
-        """From now on the word stands for the controller that leads now, or for the n-th one after it."""
+        """From now on the word stands for the controller that leads now, or for the n-th one after
+        it.
+        """
         names, _, steps = self.cluster.names, *who.partition("+")[1:]
         self.named[word] = names[
             (names.index(self.cluster.leader()) + int(steps or 0)) % len(names)
         ]
 
     def do_report_to(self, node):
-        """All workers report to this controller, and their reports reach no other; commands still reach them."""
+        """All workers report to this controller, and their reports reach no other; commands still
+        reach them.
+        """
         node, cluster = self.node(node), self.cluster
         for machine in cluster.cloud.machines.values():
             machine.node = cluster.names.index(node)
@@ -190,7 +196,7 @@
         )
 
     def do_cut_zone(self, zone, seconds, mode):
-        """Everything in the zone, the controller there included, is cut off from everything else."""
+        """Everything in the zone, controllers included, is cut off from everything else."""
         self.cluster.cut_zone(zone, float(seconds), mode)
 
     def do_freeze(self, node, seconds):
@@ -319,7 +325,9 @@
         assert ("eg/l/format" in self.cluster.state.keys) == (word == "true")
 
     def expect_within_limits(self):
-        """Nothing that controllers of the new version wrote was too large once the limits had fallen."""
+        """Nothing that controllers of the new version wrote was too large once the limits had
+        fallen.
+        """
         assert self.cluster.state.fallen
         refused = [
             row for row in self.cluster.state.refused_sizes if row[0] not in self.cluster.production
@@ -371,7 +379,7 @@
         }
 
     def expect_off(self, prefix, seconds):
-        """All withdrawn jobs of that name had nothing left that long after their users were told."""
+        """All withdrawn jobs of that name had nothing left that long after users were told."""
         assert not self.slow(prefix, seconds), self.slow(prefix, seconds)
 
     def expect_not_off(self, prefix, seconds):
@@ -574,7 +582,7 @@
 
 
 class SettingsScenario:
-    """`replace "old" "new"` in a good file, then `expect ok` or `expect error "part of the line"`."""
+    """`replace "old" "new"` in a good file, then `expect ok` or `expect error "some text"`."""
 
     def __init__(self, patch, tmp_path):
         self.tmp, self.text = tmp_path, GOOD
@@ -665,6 +673,8 @@
 
 
 class Counter(Actor):
+    """An actor that would count wrongly if two messages were handled at once."""
+
     greetings = 0
 
     def on_begin(self):
@@ -690,7 +700,9 @@
 
 
 class ActorsScenario:
-    """Threads that tell and hand messages to one actor: it still does one at a time. A greeter begins before it."""
+    """Threads that tell and hand messages to one actor: it still does one at a time. A greeter
+    begins before it.
+    """
 
     def __init__(self, patch, tmp_path):
         self.counter = Counter()
@@ -731,9 +743,10 @@
 
 
 def cases():
-    """Each file, once for each of its `seeds` if it names any, and once for each line `guard BREAKAGE RULE`:
-    played with a build that lacks this guard, the scenario has to break the rule on one of its seeds at least,
-    since what the guard prevents often takes a narrow window."""
+    """Each file, once for each of its `seeds` if it names any, and once for each line `guard
+    BREAKAGE RULE`: played with a build that lacks this guard, the scenario has to break the rule on
+    one of its seeds at least, since what the guard prevents often takes a narrow window.
+    """
     for file in FILES:
         name, rows = (
             str(file.relative_to(HERE))[:-4],
@@ -748,6 +761,7 @@
 
 @pytest.mark.parametrize(("file", "seed", "guard"), list(cases()))
 def test_scenario(file, seed, guard, monkeypatch, tmp_path):
+    """Plays one scenario, or its guard."""
     if guard is None:
         play(file, seed, None, monkeypatch, tmp_path)
         return
@@ -756,11 +770,13 @@
             if guard[1] in play(file, number, guard[0], patch, tmp_path).cluster.observer.rules():
                 return
     raise AssertionError(
-        f"{file.name}: without the guard that {guard[0]} removes, {guard[1]} is not broken on any seed"
+        f"{file.name}: without the guard that {guard[0]} removes, "
+        f"{guard[1]} is not broken on any seed"
     )
 
 
 def play(file, seed, breakage, monkeypatch, tmp_path):
+    """Plays a scenario's lines; with a breakage, only what leads to its expectations."""
     scenario, expected = None, 0
     for number, line in enumerate(file.read_text().splitlines(), 1):
         words = shlex.split(line, comments=True, posix=True)
