--- /dev/null
+++ b/emberglade/agents/bindings.py
@@ -0,0 +1,188 @@
+"""What the committed copy wants on each machine, and what of it has just changed."""
+
+import logging
+
+from ..fleet.taints import Taints
+from ..jobs.record import KEEP, Part, Spec, read_part_key
+from ..placement import read_types
+from . import wire
+
+log = logging.getLogger("emberglade.agents")
+
+
+class Entry:
+    """What the agents has of a live job: only what decides over commands."""
+
+    __slots__ = ("spec", "generation", "withdrawn", "withdrawn_at", "parts")
+
+    def __init__(self, spec, generation):
+        # `withdrawn_at`: the revision at which the withdrawal was seen; `generation` of the layout
+        # of its parts
+        self.spec, self.withdrawn, self.withdrawn_at, self.parts = spec, False, 0, {}
+        self.generation = generation
+
+    def bound(self):
+        """(task, row as kept) of all bound tasks."""
+        for rows in self.parts.values():
+            yield from rows.items()
+
+
+class CommittedBindings:
+    """The part of the agent manager that follows the copy."""
+
+    def __init__(self):
+        self.jobs = {}  # job -> Entry
+        # machine -> {(job, task): (attempt, stop, revision at which the stop was seen, session)}
+        self.bound = {}
+        # Machines whose bindings or taint changed since their last report here.
+        self.touched = set()
+        self.fresh = []  # bindings and stops that came with the change at hand
+        self.loose = {}  # parts seen before their job, or of another layout than its own
+        self.taints = Taints()
+        self.holders = {}  # shard -> node
+        self.types = {}
+        self.nodes = set()  # controllers whose keys are there
+        self.revision = -1
+
+    def on_changed(self, events, revision, whole):
+        if whole:
+            alive = {key for key, data, _ in events if data is not None}
+            for job_id in [j for j in self.jobs if "j/" + j not in alive]:
+                self.drop_job(job_id)
+            self.nodes = set()
+            self.taints.forget()
+        tables = set()
+        for key, data, stamp in events:
+            self.absorb(key, data, stamp, tables)
+        self.revision = max(self.revision, revision)
+        self.detector.compare_copies(self.revision)
+        if tables or whole:
+            self.detector.nodes(self.nodes, self.now())
+        for node in tables:
+            self.read_table(node)
+        fresh, self.fresh = self.fresh, []
+        if not whole:
+            self.command_directly(fresh)
+
+    def absorb(self, key, data, stamp, tables):
+        if key.startswith("j/"):
+            job_id = key[2:]
+            if data is None:
+                self.drop_job(job_id)
+                return
+            entry = self.jobs.get(job_id)
+            generation = data.get("g", "")
+            if entry is None:
+                entry = self.jobs[job_id] = Entry(Spec.decode(job_id, data["s"]), generation)
+                if job_id in self.heard_withdrawn:
+                    self.see_withdrawal(job_id, entry, self.heard_withdrawn[job_id])
+                for number, (part, part_stamp) in self.take_loose(job_id, generation).items():
+                    self.put_part(job_id, entry, number, part, part_stamp)
+            elif generation != entry.generation:
+                self.change_layout(job_id, entry, data, stamp)
+            if data.get("w") and not entry.withdrawn:
+                self.see_withdrawal(job_id, entry, stamp)
+            self.put_part(job_id, entry, 0, data.get("p", {}), stamp)
+        elif key.startswith("t/"):
+            self.absorb_part(key, data, stamp)
+        elif key.startswith("m/"):
+            self.touched.update(self.taints.apply(key, data, stamp, self.now()))
+        elif key.startswith("s/"):
+            if data is not None:
+                self.holders[int(key[2:])] = data.get("node")
+        elif key.startswith("n/"):
+            node = key[2:]
+            tables.add(node)
+            if data is None:
+                self.nodes.discard(node)
+                self.tables.pop(node, None)
+            else:
+                self.nodes.add(node)
+                self.tables.setdefault(node, {})[key] = data
+        elif key.startswith("r/"):
+            node = key.split("/")[1]
+            if data is None:
+                self.tables.get(node, {}).pop(key, None)
+            else:
+                self.tables.setdefault(node, {})[key] = data
+                tables.add(node)
+        elif key.startswith("f/"):
+            for fact in wire.read_facts(((data or {}).get("to") or {}).get(self.settings.node)):
+                self.job_manager.tell(*fact)
+        elif key == "catalog" and data is not None:
+            self.types = read_types(data)
+
+    def absorb_part(self, key, data, stamp):
+        job_id, generation, number = read_part_key(key)
+        entry = self.jobs.get(job_id)
+        if entry is not None and generation == entry.generation:
+            self.put_part(job_id, entry, number, data or {}, stamp)
+        elif data is not None:
+            self.loose.setdefault(job_id, {})[(generation, number)] = (data, stamp)
+        else:
+            self.loose.get(job_id, {}).pop((generation, number), None)
+            if not self.loose.get(job_id, True):
+                del self.loose[job_id]
+
+    def take_loose(self, job_id, generation):
+        """{number: (data, stamp)} of the parts of this layout that were seen before the record
+        named it.
+        """
+        loose = self.loose.get(job_id, {})
+        taken = {number: loose.pop((of, number)) for of, number in list(loose) if of == generation}
+        if not loose:
+            self.loose.pop(job_id, None)
+        return taken
+
+    def change_layout(self, job_id, entry, data, stamp):
+        """The record names other parts. The tasks that both show bound stay so, in one step."""
+        old = dict(entry.bound())
+        parts = {
+            number: Part.bound_rows(part)
+            for number, (part, _) in self.take_loose(job_id, data["g"]).items()
+        }
+        parts[0] = Part.bound_rows(data.get("p", {}))
+        entry.generation, entry.parts = data["g"], parts
+        self.rebind(job_id, old, dict(entry.bound()), stamp)
+
+    def drop_job(self, job_id):
+        entry = self.jobs.pop(job_id, None)
+        self.loose.pop(job_id, None)
+        self.forget_withdrawal(job_id)
+        if entry is not None:
+            for number in list(entry.parts):
+                self.put_part(job_id, entry, number, {}, 0)
+
+    def put_part(self, job_id, entry, number, data, stamp):
+        """Takes over one part; costs little for the tasks whose binding is the same as before."""
+        old, new = entry.parts.get(number, {}), Part.bound_rows(data)
+        self.rebind(job_id, old, new, stamp)
+        entry.parts[number] = new
+
+    def rebind(self, job_id, old, new, stamp):
+        """Makes the bound tasks `old` of a job `new`; only differences cost anything."""
+        for task, row in old.items():
+            if new.get(task) != row:
+                here = self.bound[row[1]]
+                before = here.pop((job_id, task))
+                if not here:
+                    del self.bound[row[1]]
+                self.touched.add(row[1])
+                if task in new and new[task][0] == row[0]:
+                    # The same attempt: a stop counts from when it was first seen.
+                    self.hold(job_id, task, new[task], before[2] if before[1] else stamp)
+                    self.fresh.append((job_id, task, *new[task][:3]))
+        for task, row in new.items():
+            before = old.get(task)
+            if before is None or before[0] != row[0]:
+                self.hold(job_id, task, row, stamp)
+                self.fresh.append((job_id, task, *row[:3]))
+
+    def hold(self, job_id, task, row, since):
+        self.bound.setdefault(row[1], {})[(job_id, task)] = (
+            row[0],
+            row[3] if len(row) > 3 else KEEP,
+            since,
+            row[2],
+        )
+        self.touched.add(row[1])
--- /dev/null
+++ b/emberglade/agents/commands.py
@@ -0,0 +1,151 @@
+"""Commands to workers, derived from the committed copy and their reports."""
+
+import logging
+
+from ..jobs.record import KEEP, SAVE, STOP, task_name
+from . import wire
+
+log = logging.getLogger("emberglade.agents")
+
+
+CLEAR, START = "clear", "start"  # commands that take a sync
+
+
+class Commands:
+    """The part of the agent manager that decides what a machine is told."""
+
+    def commands(self, known, synced):
+        """(token, commands, what more a sync would allow: nothing, a clear, or a start)."""
+        report, tasks = known.report, known.tasks
+        token, commands, more = max(report.token, known.probe or 0), [], None
+        bound = self.bound.get(report.machine, {})
+        tainted = report.machine in self.taints
+        for key, seen in tasks.items():
+            name = task_name(*key)
+            want = bound.get(key)
+            if want is not None and want[0] == seen.attempt:
+                if seen.state == "exited":
+                    continue  # the holder is told; cleared once that is written
+                stop, since = self.stop_of(key, want)
+                if stop != KEEP:
+                    token = max(token, since)
+                    grace = self.grace(self.jobs[key[0]], stop)
+                    if seen.state != "saving" or stop != SAVE:
+                        commands.append(wire.halt(name, seen.attempt, grace))
+            elif seen.state != "exited" and self.is_withdrawn(key[0]):
+                # Whatever the copy lacks, nothing of a withdrawn job is wanted anywhere.
+                token = max(token, self.withdrawn_revision(key[0]))
+                commands.append(wire.halt(name, seen.attempt, 0))
+            elif not synced:
+                more = more or CLEAR
+            elif seen.state == "exited":
+                # Fenced: no start of this attempt that is still on its way can follow the clear.
+                token = max(token, self.revision)
+                commands.append(wire.clear(name, seen.attempt))
+            else:
+                token = max(token, self.revision)
+                log.info(
+                    "%s attempt %d on %s is not wanted there; stopping it",
+                    name,
+                    seen.attempt,
+                    report.machine,
+                )
+                commands.append(wire.halt(name, seen.attempt, 0))
+        for key, want in bound.items():
+            seen = tasks.get(key)
+            if (seen is not None and seen.attempt == want[0]) or report.session != want[3]:
+                continue
+            stop, since = self.stop_of(key, want)
+            if stop != KEEP:
+                # Absent: with this token seen, no late start can bring it back.
+                token = max(token, since)
+            elif seen is not None and seen.state != "exited":
+                continue  # another attempt is still there; it is being stopped first
+            elif tainted or known.deaf or report.notice_s is not None:
+                continue
+            elif not synced:
+                more = START
+            else:
+                commands.append(wire.start(task_name(*key), want[0]))
+        return token, commands, more
+
+    @staticmethod
+    def grace(entry, stop):
+        return entry.spec.save_s * 1.5 + 1 if stop == SAVE else 0
+
+    def stop_of(self, key, want):
+        entry = self.jobs[key[0]]
+        if entry.withdrawn:
+            return STOP, (min(want[2], entry.withdrawn_at) if want[1] else entry.withdrawn_at)
+        return want[1], want[2]
+
+    def command_directly(self, fresh):
+        """Starts what was just bound, and stops what is to make room, without waiting for the
+        machine's next report.
+
+        The token is the revision of the copy that shows the binding. Whatever ends the binding is
+        committed later and fenced with that later revision, or ends the session named here; so
+        however late a start arrives, it can't act after either (docs/safety.md, 6). A stop is of an
+        attempt that is never started again, so it does no harm at any time.
+        """
+        machines = {}
+        for job_id, task, attempt, machine, session in fresh:
+            entry = self.jobs.get(job_id)
+            # Once broken: the binding and its stop came in one change, and the start went out all
+            # the same, with a token above the stop's (rules/stopped_in_one_change.txt).
+            want = self.bound.get(machine, {}).get((job_id, task))
+            if (
+                want is None
+                or want[0] != attempt
+                or want[3] != session
+                or entry.withdrawn
+                or self.holder_of(entry.spec) != self.settings.node
+            ):
+                continue
+            name = task_name(job_id, task)
+            machines.setdefault((machine, session), []).append(
+                wire.start(name, attempt)
+                if want[1] == KEEP
+                else wire.halt(name, attempt, self.grace(entry, want[1]))
+            )
+        now = self.now()
+        for (machine, session), commands in machines.items():
+            last_seen = self.detector.view.get(machine)
+            if last_seen is None:
+                continue
+            row = last_seen.row
+            if machine in self.taints or row.notice:
+                commands = [command for command in commands if wire.is_halt(command)]
+            if (
+                not commands
+                or not row.addr
+                or row.session != session
+                or row.deaf
+                or now - last_seen.heard > self.settings.lease_s / 2
+            ):
+                continue
+            self.workers.call(
+                row.addr,
+                "POST",
+                "/commands",
+                wire.orders(self.revision, session, commands),
+                self.settings.report_s,
+                self.then("ordered", machine),
+            )
+
+    def on_ordered(self, machine, status, body):
+        """200 or 409: the body is the worker's report, newer than what is known here."""
+        if status not in (200, 409):
+            return
+        try:
+            report = wire.read_report(body)
+            tasks = wire.read_tasks(report.raw)
+        except ValueError as error:
+            log.info("%s answered a command with an odd report: %s", machine, error)
+            return
+        known = self.known.get(report.machine)
+        # Direct commands renew no lease, and where the worker reports is not this node's to say.
+        if known is not None and known.report.age < report.age:
+            known.report, known.tasks, known.heard, known.quiet = report, tasks, self.now(), False
+            self.detector.view[report.machine] = self.last_seen(known)
+        self.tell_holders(report, tasks)
--- a/emberglade/agents/exchange.py
+++ b/emberglade/agents/exchange.py
@@ -2,35 +2,25 @@
 
 import logging
 
-import orjson
-
 from ..placement import Machine
 from ..state import wire as state_wire
 from . import wire
 from .failure_detector import FailureDetector, LastSeen
+from .tables import TABLE_S
 
 log = logging.getLogger("emberglade.agents")
 
-TABLE_S = 5.0  # the DESIGN page's interval of tables
 MOST_ASKED = 1000  # machines in one question: well below 64 KiB
-MOST_PARTS = 9999  # further values of a table without machines: they never come
-FRAME_BYTES = 96  # of a table's value: the node's incarnation, the table's number and field names
-MOST_VALUE = (
-    32 * 1024
-)  # of a table, however much the state service takes: transactions are limited too
 
 
 class PeerExchange:
-    """The part of the agents that asks peers, writes tables, and says what machines there are."""
+    """The part of the agent manager that asks peers, and says what machines there are."""
 
     inventory_due = False
 
     def __init__(self, settings):
         self.detector = FailureDetector(settings)
-        self.tables = {}  # node -> {key: data}
-        self.table_number = 0
         self.asked_by = {}  # peer -> when it last asked here, and so could get an answer
-        self.rows_in_table = False  # whether the last table held machines
         self.asked = {}  # peer -> when it was asked
         self.asked_whole = float("-inf")
         self.inventory, self.inventory_told = {}, float("-inf")
@@ -267,119 +257,3 @@
                 last_seen is not None,
             )
         reply(result, slack)
-
-    # --- tables in the state service
-
-    def on_tables(self):
-        self.after(TABLE_S, "tables")
-        self.ask_for_table()
-
-    def ask_for_table(self):
-        self.job_manager.tell("demand", self.then("table_demand"))
-
-    def needs_rows(self, now):
-        """Whether a live peer and this controller don't hear each other, so that only tables tell
-        of machines.
-
-        Rows of machines are most of a table, and tables were most of what a quiet cluster wrote.
-        """
-        lately = now - 2 * self.settings.report_s
-        return any(
-            self.asked_by.get(name, -1e9) < lately
-            or name not in self.detector.told
-            or self.detector.told[name].asked < lately
-            for name in self.peers
-            if name in self.nodes
-        )
-
-    def on_table_demand(self, demand, shortage):
-        """Counts, and machines if they are needed, in as many values as they take."""
-        now = self.now()
-        types = sorted(self.types)
-        # The lease's number and a count: no two tables of a node share it.
-        self.table_number += 1
-        number = f"{self.incarnation}-{self.table_number}"
-        first = {
-            "t": number,
-            "parts": MOST_PARTS,
-            "d": [[*pool, round(count, 4)] for pool, count in demand.items()],
-            "wall": self.system.wall(),
-            "z": [[*pool, round(count, 4)] for pool, count in shortage.items()],
-            "up": now - self.born,
-            "contact": min(1e6, now - self.contact),
-            "rev": self.revision,
-            "types": types,
-            "m": {},
-        }
-        most = min(self.settings.value_bytes, MOST_VALUE) - FRAME_BYTES
-        self.rows_in_table = self.needs_rows(now)
-        # A table that lacks further values is never taken for a statement about machines.
-        places = [{}]
-        if self.rows_in_table:
-            places = self.pack_rows(types, now, most, most - len(orjson.dumps(first)))
-            first["parts"], first["m"] = len(places) - 1, places[0]
-        self.member.tell("table", first, [{"t": number, "m": rows} for rows in places[1:]])
-
-    def pack_rows(self, types, now, most, first_room):
-        """The machines' rows in dictionaries of at most `most` bytes each, the first of them
-        `first_room`.
-        """
-        zones, places, room = self.settings.zones, [{}], first_room
-        for name, (age_s, kind, zone, spot, session, tally, notice, deaf, addr) in self.rows(
-            now, 2 * self.settings.lease_s
-        ).items():
-            short = [
-                age_s,
-                types.index(kind) if kind in types else kind,
-                zones.index(zone) if zone in zones else zone,
-                int(spot),
-                session,
-                tally,
-                int(notice),
-                int(deaf),
-                addr,
-            ]
-            room -= len(orjson.dumps(short)) + len(name) + 4
-            if room < 0:
-                places.append({})
-                room = most - len(orjson.dumps(short)) - len(name) - 4
-            places[-1][name] = short
-        return places
-
-    def read_table(self, node):
-        parts = self.tables.get(node, {})
-        first = parts.get("n/" + node)
-        if node == self.settings.node or first is None or not first.get("table"):
-            return
-        table = first["table"]
-        try:
-            types, zones = table["types"], self.settings.zones
-            values = [
-                table,
-                *(
-                    data
-                    for key, data in parts.items()
-                    if key.startswith("r/") and data["t"] == table["t"]
-                ),
-            ]
-            if len(values) != table["parts"] + 1:
-                # the rest is on its way; a row that is missing would pass for a machine never heard
-                return
-            rows = {}
-            for data in values:
-                for name, (age_s, kind, zone, *rest) in data["m"].items():
-                    rows[name] = [
-                        age_s,
-                        types[kind] if isinstance(kind, int) else kind,
-                        zones[zone] if isinstance(zone, int) else zone,
-                        *rest,
-                    ]
-            body = {
-                "up": table["up"],
-                "contact": table["contact"],
-                "rev": table["rev"],
-                "known": rows,
-            }
-            self.detector.read_table(node, self.now(), self.system.wall() - table["wall"], body)
-        except (KeyError, TypeError, ValueError, IndexError) as error:
-            log.info("the table of %s is odd (%s); the next one is awaited", node, error)
--- /dev/null
+++ b/emberglade/agents/routing.py
@@ -0,0 +1,82 @@
+"""Which controller may answer a worker, and which one it had better report to."""
+
+import logging
+import zlib
+
+log = logging.getLogger("emberglade.agents")
+
+
+class Routing:
+    """The part of the agent manager that sends workers elsewhere."""
+
+    def __init__(self):
+        self.sent_home = {}  # machine -> when it was sent to a node in its own zone
+        self.tried_home = {}  # node -> when a worker was last sent there
+
+    def entitled(self, now):
+        """Whether no withdrawal that this copy lacks can have been told to its user longer than
+        `blind_s` ago.
+
+        Either a sync was answered since, or every peer has stated since that its copy is no newer
+        than this one: whatever a controller tells a user is in its own copy before (docs/safety.md,
+        8).
+        """
+        if self.revision < 0:
+            return False
+        blind_s = self.settings.blind_s
+        return now - self.contact <= blind_s or now - self.detector.level_since() <= blind_s
+
+    def better_node(self, now):
+        """A node that can follow the state service while this one can't."""
+        quarter = self.settings.lease_s / 4
+        if now - self.contact < quarter:
+            return None
+        for name, said in self.detector.told.items():
+            if (
+                now - said.got < 2 * self.settings.report_s
+                and said.contact_s + now - said.got < quarter
+            ):
+                return name
+        return None
+
+    def home_node(self, report, now):
+        """A node in the worker's own zone that can take it, if it is not there already.
+
+        When a zone is cut off, its workers need their lease renewed by a node inside. Once broken:
+        most reported to nodes outside, and with five of them the search for the one inside took
+        longer than a lease (agents/zone_with_five.txt). A worker is sent once in four leases, so
+        that one which can't reach that node stays where it is heard.
+        """
+        settings, name = self.settings, report.machine
+        if (
+            report.zone == settings.zone
+            or report.notice_s is not None
+            or now - self.sent_home.get(name, float("-inf")) < 4 * settings.lease_s
+        ):
+            return None
+        inside = []
+        for peer in settings.peers:
+            said = self.detector.told.get(peer.name)
+            if (
+                peer.zone == report.zone
+                and peer.name in self.nodes
+                and said is not None
+                and now - said.got < 2 * settings.report_s
+                and said.contact_s + now - said.got < settings.lease_s / 4
+                # It hears workers, or is to show by one now and then that it does.
+                and (
+                    said.hearing
+                    or now - self.tried_home.get(peer.name, float("-inf")) > settings.lease_s / 4
+                )
+                # One node is not to hear them all, if most machines are in its zone.
+                and said.hearing <= 3 * len(self.detector.view) / settings.size
+            ):
+                inside.append(peer.name)
+        if not inside:
+            return None
+        chosen = inside[zlib.crc32(name.encode()) % len(inside)]
+        self.sent_home[name] = self.tried_home[chosen] = now
+        return chosen
+
+    def on_ready(self, reply):
+        reply(self.revision >= 0 and self.better_node(self.now()) is None)
