Names and types: final_key, FINAL, not_before, Wanted; taints spill only after the raise

The version before looks for a machine's taint in the machine's own key alone, so a taint that has no room there waits until the format is raised.

--- a/emberglade/agents/bindings.py
+++ b/emberglade/agents/bindings.py
@@ -1,6 +1,7 @@
 """What the committed copy wants on each machine, and what of it has just changed."""
 
 import logging
+from typing import NamedTuple
 
 from ..fleet.taints import Taints
 from ..jobs.record import KEEP, Part, Spec, read_part_key
@@ -10,6 +11,15 @@
 log = logging.getLogger("emberglade.agents")
 
 
+class Wanted(NamedTuple):
+    """A task that the committed copy shows bound to a machine."""
+
+    attempt: int
+    stop: int  # KEEP, STOP or SAVE
+    stop_seen: int  # revision at which the stop was seen
+    session: int  # of the machine
+
+
 class Entry:
     """What the agents has of a live job: only what decides over commands."""
 
@@ -32,8 +42,7 @@
 
     def __init__(self):
         self.jobs = {}  # job -> Entry
-        # machine -> {(job, task): (attempt, stop, revision at which the stop was seen, session)}
-        self.bound = {}
+        self.bound = {}  # machine -> {(job, task): Wanted}
         # Machines whose bindings or taint changed since their last report here.
         self.touched = set()
         self.fresh = []  # bindings and stops that came with the change at hand
@@ -170,19 +179,16 @@
                 self.touched.add(row[1])
                 if task in new and new[task][0] == row[0]:
                     # The same attempt: a stop counts from when it was first seen.
-                    self.hold(job_id, task, new[task], before[2] if before[1] else stamp)
+                    self.want(job_id, task, new[task], before.stop_seen if before.stop else stamp)
                     self.fresh.append((job_id, task, *new[task][:3]))
         for task, row in new.items():
             before = old.get(task)
             if before is None or before[0] != row[0]:
-                self.hold(job_id, task, row, stamp)
+                self.want(job_id, task, row, stamp)
                 self.fresh.append((job_id, task, *row[:3]))
 
-    def hold(self, job_id, task, row, since):
-        self.bound.setdefault(row[1], {})[(job_id, task)] = (
-            row[0],
-            row[3] if len(row) > 3 else KEEP,
-            since,
-            row[2],
-        )
+    def want(self, job_id, task, row, since):
+        attempt, machine, session, *stop = row
+        wanted = Wanted(attempt, stop[0] if stop else KEEP, since, session)
+        self.bound.setdefault(machine, {})[(job_id, task)] = wanted
         self.touched.add(row[1])
--- a/emberglade/agents/commands.py
+++ b/emberglade/agents/commands.py
@@ -23,7 +23,7 @@
         for key, seen in tasks.items():
             name = task_name(*key)
             want = bound.get(key)
-            if want is not None and want[0] == seen.attempt:
+            if want is not None and want.attempt == seen.attempt:
                 if seen.state == "exited":
                     continue  # the holder is told; cleared once that is written
                 stop, since = self.stop_of(key, want)
@@ -53,7 +53,9 @@
                 commands.append(wire.halt(name, seen.attempt, 0))
         for key, want in bound.items():
             seen = tasks.get(key)
-            if (seen is not None and seen.attempt == want[0]) or report.session != want[3]:
+            if (
+                seen is not None and seen.attempt == want.attempt
+            ) or report.session != want.session:
                 continue
             stop, since = self.stop_of(key, want)
             if stop != KEEP:
@@ -66,7 +68,7 @@
             elif not synced:
                 more = START
             else:
-                commands.append(wire.start(task_name(*key), want[0]))
+                commands.append(wire.start(task_name(*key), want.attempt))
         return token, commands, more
 
     @staticmethod
@@ -76,8 +78,10 @@
     def stop_of(self, key, want):
         entry = self.jobs[key[0]]
         if entry.withdrawn:
-            return STOP, (min(want[2], entry.withdrawn_at) if want[1] else entry.withdrawn_at)
-        return want[1], want[2]
+            return STOP, (
+                min(want.stop_seen, entry.withdrawn_at) if want.stop else entry.withdrawn_at
+            )
+        return want.stop, want.stop_seen
 
     def command_directly(self, fresh):
         """Starts what was just bound, and stops what is to make room, without waiting for the
@@ -96,8 +100,8 @@
             want = self.bound.get(machine, {}).get((job_id, task))
             if (
                 want is None
-                or want[0] != attempt
-                or want[3] != session
+                or want.attempt != attempt
+                or want.session != session
                 or entry.withdrawn
                 or self.holder_of(entry.spec) != self.settings.node
             ):
@@ -105,8 +109,8 @@
             name = task_name(job_id, task)
             machines.setdefault((machine, session), []).append(
                 wire.start(name, attempt)
-                if want[1] == KEEP
-                else wire.halt(name, attempt, self.grace(entry, want[1]))
+                if want.stop == KEEP
+                else wire.halt(name, attempt, self.grace(entry, want.stop))
             )
         now = self.now()
         for (machine, session), commands in machines.items():
--- a/emberglade/agents/facts.py
+++ b/emberglade/agents/facts.py
@@ -28,20 +28,28 @@
         for key, want in self.bound.get(report.machine, {}).items():
             seen = tasks.get(key)
             stop, since = self.stop_of(key, want)
-            if seen is not None and seen.attempt == want[0]:
+            if seen is not None and seen.attempt == want.attempt:
                 if seen.state == "exited":
-                    fact = ("exited", key[0], key[1], want[0], report.machine, seen.why, seen.saved)
+                    fact = (
+                        "exited",
+                        key[0],
+                        key[1],
+                        want.attempt,
+                        report.machine,
+                        seen.why,
+                        seen.saved,
+                    )
                 elif report.notice_s is not None and stop == KEEP:
-                    fact = ("stop", key[0], key[1], want[0], SAVE, "its machine is taken back")
+                    fact = ("stop", key[0], key[1], want.attempt, SAVE, "its machine is taken back")
                 else:
                     continue
-            elif report.session > want[3] or (
-                report.session == want[3] and stop != KEEP and report.token >= since
+            elif report.session > want.session or (
+                report.session == want.session and stop != KEEP and report.token >= since
             ):
                 # Its session is over, or its start can't be accepted any more: it will never run.
-                fact = ("gone", key[0], key[1], want[0], report.machine)
+                fact = ("gone", key[0], key[1], want.attempt, report.machine)
             elif stop == KEEP and report.notice_s is not None:
-                fact = ("stop", key[0], key[1], want[0], SAVE, "its machine is taken back")
+                fact = ("stop", key[0], key[1], want.attempt, SAVE, "its machine is taken back")
             else:
                 continue
             told = True
--- a/emberglade/agents/withdrawals.py
+++ b/emberglade/agents/withdrawals.py
@@ -138,9 +138,9 @@
         """
         commands = []
         for (job_id, task), want in self.bound.get(machine, {}).items():
-            if job_id in self.withdrawn and want[3] == session:
+            if job_id in self.withdrawn and want.session == session:
                 token = max(token, self.withdrawn_revision(job_id))
-                commands.append(wire.halt(f"{job_id}/{task}", want[0], 0))
+                commands.append(wire.halt(f"{job_id}/{task}", want.attempt, 0))
         if not commands:
             return
         self.halted[machine] = (session, self.now())
@@ -171,11 +171,11 @@
         for (job_id, task), want in self.bound.get(machine, {}).items():
             seen = tasks.get((job_id, task))
             if job_id in self.withdrawn and (
-                report.session > want[3]
+                report.session > want.session
                 or seen is None
-                or seen.attempt != want[0]
+                or seen.attempt != want.attempt
                 or seen.state == "exited"
             ):
-                self.seen_off.setdefault(job_id, set()).add((task, want[0]))
+                self.seen_off.setdefault(job_id, set()).add((task, want.attempt))
         if self.held_back:
             self.press_due_halts()
--- a/emberglade/fleet/taints.py
+++ b/emberglade/fleet/taints.py
@@ -69,7 +69,7 @@
         too large passes taints on to others; `may_move`: whether every controller reads that
         rightly.
         """
-        change = TaintChange(self, value_bytes, most)
+        change = TaintChange(self, value_bytes, most, may_move)
         taken = {machine: taint for machine, taint in wishes.items() if change.put(machine, taint)}
         if may_move:
             change.shrink()
@@ -79,8 +79,9 @@
 class TaintChange:
     """The new values of some keys, worked out change by change."""
 
-    def __init__(self, taints, value_bytes, most):
+    def __init__(self, taints, value_bytes, most, may_move):
         self.taints, self.value_bytes, self.most = taints, value_bytes, most
+        self.may_move = may_move
         self.open = {}  # key -> {machine: taint}
         self.sizes = {}
         self.reserved = 0  # keys that those which are too large will pass taints on to
@@ -121,7 +122,9 @@
         would be written.
         """
         need = size((machine, taint or ""))
-        further = [f"m/{number}" for number in range(KEYS, KEYS + len(self.taints.keys) + 1)]
+        # The version before looks for a machine's taint in its own key alone.
+        last = KEYS + len(self.taints.keys) + 1 if self.may_move else KEYS
+        further = [f"m/{number}" for number in range(KEYS, last)]
         for key in [key_of(machine), *further]:
             if key == full or (key not in self.open and len(self.open) >= self.most):
                 continue
--- a/emberglade/frontdoor/api.py
+++ b/emberglade/frontdoor/api.py
@@ -8,10 +8,10 @@
 
 import orjson
 
-from ..jobs.record import Job, job_key, over_key, part_size_for, read_part_key
+from ..jobs.record import Job, final_key, job_key, part_size_for, read_part_key
 from ..membership import FORMAT_KEY, is_raised
 from ..placement import fits_some_type, read_types
-from ..state import LIVE, OVER, Follower
+from ..state import FINAL, LIVE, Follower
 from ..state import wire as state_wire
 from ..state.store import DECISIONS, SUBMISSIONS
 from . import wire
@@ -265,7 +265,7 @@
         if row is None:
             # Not live at the sync: over, or never accepted. Final states are never removed.
             self.store.tell(
-                "read", DECISIONS, OVER + over_key(job_id), self.then("look_read", job_id, reply)
+                "read", DECISIONS, FINAL + final_key(job_id), self.then("look_read", job_id, reply)
             )
             return
         data, _, further = row
--- a/emberglade/frontdoor/awaited.py
+++ b/emberglade/frontdoor/awaited.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass, field
 
 from ..jobs.dependencies import DependencyGraph, Outcome
-from ..jobs.record import Spec, job_key, over_key
+from ..jobs.record import Spec, final_key, job_key
 from ..jobs.releases import read_outcome
 from ..jobs.waiting import lay_out, piece_key, waiting_key
-from ..state import LIVE, OVER
+from ..state import FINAL, LIVE
 from ..state import wire as state_wire
 from ..state.store import DECISIONS, SUBMISSIONS
 from . import wire
@@ -67,7 +67,9 @@
                 self.reads[need].append(waiting)
                 continue
             self.reads[need] = [waiting]
-            self.store.tell("read", DECISIONS, OVER + over_key(need), self.then("need_read", need))
+            self.store.tell(
+                "read", DECISIONS, FINAL + final_key(need), self.then("need_read", need)
+            )
 
     def on_need_read(self, need, status, data, stamp):
         outcome = read_outcome(status, data)
@@ -213,7 +215,7 @@
         return [
             (LIVE + job_key(job_id), 0),
             (LIVE + waiting_key(job_id), 0),
-            (OVER + over_key(job_id), 0),
+            (FINAL + final_key(job_id), 0),
         ]
 
     # --- questions and cancellations
@@ -247,7 +249,7 @@
             DECISIONS,
             [(LIVE + waiting_key(job_id), waiting.stamp)],
             [
-                state_wire.put(OVER + over_key(job_id), end),
+                state_wire.put(FINAL + final_key(job_id), end),
                 state_wire.remove(LIVE + waiting_key(job_id)),
             ],
             self.then("aborted", job_id, reply, tries),
--- a/emberglade/jobs/commits.py
+++ b/emberglade/jobs/commits.py
@@ -3,13 +3,13 @@
 import logging
 import math
 
-from ..state import LIVE, OVER
+from ..state import FINAL, LIVE
 from ..state import wire as state_wire
 from ..state.store import DECISIONS
 from ..transport import NO_ANSWER
 from .record import (
+    final_key,
     job_key,
-    over_key,
     read_part_key,
 )
 
@@ -106,7 +106,7 @@
                     "d": job.done_count(),
                 }
                 writes += [
-                    state_wire.put(OVER + over_key(job_id), end),
+                    state_wire.put(FINAL + final_key(job_id), end),
                     state_wire.remove(LIVE + key),
                 ]
                 ends.append((job_id, end["glow"]))
--- a/emberglade/jobs/manager.py
+++ b/emberglade/jobs/manager.py
@@ -88,7 +88,9 @@
             if not broken_job:
                 _, count = self.suspects.get(machine, (0, 0))
                 self.suspects[machine] = (now + lease * min(2**count, MOST_REST), count + 1)
-            job.hold[task] = now + (lease * min(len(machines), MOST_REST) if broken_job else 0)
+            job.not_before[task] = now + (
+                lease * min(len(machines), MOST_REST) if broken_job else 0
+            )
             log.info(
                 "%s ended in error on %s; %s",
                 task_name(job.id, task),
@@ -101,11 +103,11 @@
                 self.suspects.get(machine, (0, 0))[1],
             )
         elif why in ("incomplete", "mates_gone"):
-            job.hold[task] = now + self.settings.report_s
+            job.not_before[task] = now + self.settings.report_s
         elif why == "no_such":
-            job.hold[task] = now + lease / 2
+            job.not_before[task] = now + lease / 2
         elif why == "done":
-            job.hold[task] = now + self.settings.report_s
+            job.not_before[task] = now + self.settings.report_s
 
     def on_gone(self, job_id, task, attempt, machine):
         """Proof that this attempt is not on its machine and never will be again."""
--- a/emberglade/jobs/record.py
+++ b/emberglade/jobs/record.py
@@ -45,7 +45,7 @@
     return PartKey(job_id, "".join(generation), int(number))
 
 
-def over_key(job_id):
+def final_key(job_id):
     """The key of a job's final state, without its prefix."""
     return job_id
 
@@ -217,7 +217,7 @@
         self.withdrawn = withdrawn
         self.parts = {}
         self.last_bound = float("-inf")  # when this node last saw a task of it bound; not durable
-        self.hold = {}  # task -> earliest next try; not durable
+        self.not_before = {}  # task -> earliest next try; not durable
 
     @property
     def id(self):
@@ -291,7 +291,7 @@
             for task in range(first, min(first + self.size, self.spec.tasks)):
                 if part is not None and (task in part.bound or task in part.done):
                     continue
-                if self.hold and self.hold.get(task, 0) > now:
+                if self.not_before and self.not_before.get(task, 0) > now:
                     continue
                 found.append(task)
                 if len(found) >= most:
--- a/emberglade/jobs/releases.py
+++ b/emberglade/jobs/releases.py
@@ -7,11 +7,11 @@
 
 import logging
 
-from ..state import LIVE, OVER
+from ..state import FINAL, LIVE
 from ..state import wire as state_wire
 from ..state.store import DECISIONS
 from .dependencies import DependencyGraph, Outcome
-from .record import Job, job_key, over_key, part_size_for
+from .record import Job, final_key, job_key, part_size_for
 from .waiting import piece_key, released, waiting_key
 
 log = logging.getLogger("emberglade.jobs")
@@ -50,7 +50,7 @@
             if self.own_waiting(self.graph.dependents.get(need, ())):
                 self.needs_read.add(need)
                 self.store.tell(
-                    "read", DECISIONS, OVER + over_key(need), self.then("need_read", need)
+                    "read", DECISIONS, FINAL + final_key(need), self.then("need_read", need)
                 )
 
     def on_need_read(self, need, status, data, stamp):
@@ -94,7 +94,7 @@
                 writes.append(state_wire.put(LIVE + job_key(job_id), self.live_record(job)))
             else:
                 end = {"glow": Outcome.WITHDRAWN.value, "n": job.spec.tasks, "d": 0}
-                writes.append(state_wire.put(OVER + over_key(job_id), end))
+                writes.append(state_wire.put(FINAL + final_key(job_id), end))
             writes.append(state_wire.remove(LIVE + waiting_key(job_id)))
         self.release_busy = True
         self.write_rate(self.now(), len(writes))
--- a/emberglade/state/store.py
+++ b/emberglade/state/store.py
@@ -16,7 +16,7 @@
 log = logging.getLogger("emberglade.state")
 
 LIVE = "eg/l/"  # keys that every controller follows
-OVER = "eg/o/"  # final states of jobs: read one by one, never followed
+FINAL = "eg/o/"  # final states of jobs: read one by one, never followed
 
 REPORTS, DECISIONS, SUBMISSIONS = 0, 1, 2  # ranks of work
 
