--- a/tests/breakages.py
+++ b/tests/breakages.py
@@ -7,6 +7,7 @@
 
 from emberglade.agents.failure_detector import FailureDetector
 from emberglade.agents.manager import AgentManager
+from emberglade.fleet.taints import TaintChange
 from emberglade.frontdoor.api import Api
 from emberglade.jobs.dependencies import DependencyGraph
 from emberglade.jobs.manager import JobManager
@@ -300,3 +301,8 @@
     final key.
     """
     patch.setattr(DependencyGraph, "unresolved_before", lambda self, job_id: set())
+
+
+def taints_stay(patch):
+    """A key that holds too many taints passes none on."""
+    patch.setattr(TaintChange, "shrink", lambda self: None)
--- a/tests/scenario_kinds/cluster.py
+++ b/tests/scenario_kinds/cluster.py
@@ -287,15 +287,25 @@
         """Whether the cluster's record format is raised by now."""
         assert ("eg/l/format" in self.cluster.state.keys) == (word == "true")
 
-    def expect_within_limits(self):
-        """Nothing that controllers of the new version wrote was too large once the limits had
-        fallen.
-        """
+    def refused_sizes(self):
+        """What controllers of the new version wrote too large once the limits had fallen."""
         assert self.cluster.state.fallen
-        refused = [
+        return [
             row for row in self.cluster.state.refused_sizes if row[0] not in self.cluster.production
         ]
-        assert not refused, refused[:3]
+
+    def expect_within_limits(self):
+        assert not self.refused_sizes(), self.refused_sizes()[:3]
+
+    def expect_beyond_limits(self):
+        """For broken builds: something was refused for its size."""
+        assert self.refused_sizes()
+
+    def expect_largest_was(self, kind, least):
+        """Some value below eg/l/<kind> was that large: the meeting took place."""
+        assert self.cluster.state.largest_of.get("eg/l/" + kind, 0) >= int(least), (
+            self.cluster.state.largest_of
+        )
 
     def expect_wrote(self, kind, least):
         """At least so many keys were written below eg/l/<kind>: the meeting took place."""
--- a/tests/stand_ins/state.py
+++ b/tests/stand_ins/state.py
@@ -35,7 +35,7 @@
         self.fallen = False  # whether the limits fell: what is too large is refused from then on
         # (who, key) of the values and transactions refused for their size since
         self.refused_sizes = []
-        self.largest = {}  # who -> bytes of the largest value written
+        self.largest_of = {}  # eg/l/m and the like -> bytes of the largest value written
         world.hosts["state"] = self.handle
 
     def take(self, name, amount, rate):
@@ -160,9 +160,10 @@
             return "over the limits of a transaction"
         for write in writes:
             size = len(orjson.dumps(write.get("data")))
-            self.largest[source] = max(self.largest.get(source, 0), size)
             if size > self.value_bytes:
                 return f"{write['put']}: a value is too large"
+            kind = "/".join((write.get("put") or write["remove"]).split("/")[:3])
+            self.largest_of[kind] = max(self.largest_of.get(kind, 0), size)
         return None
 
     def txn(self, data, source):
