Connections cost a socket, not a thread; accounts of processor time and memory

Need: on 14.4 % of a core and 122 MB a thread for each of up to 900 connections, and a fixed bound of 1,700 threads, below what 4,000 machines take. Change: one thread a server waits for all connections, parses what has arrived and routes it; the answer is sent by whoever gives it. Slow senders and readers hold nobody up; past the bound the connection idle for longest gives way, users' first, and above 7/8 of it each answer ends its connection, so that workers take turns. transport.py is split into client, messages and server.

--- a/emberglade/actors.py
+++ b/emberglade/actors.py
@@ -64,7 +64,7 @@
         self.random = random.Random(seed)
         self.now = time.monotonic
         self.wall = time.time
-        self.busy = {}  # actor's name -> [seconds in its messages, messages]
+        self.busy = {}  # actor's name -> {message: [seconds, count]}
 
     def spawn(self, actors):
         """Begins all of these (actor, name). Each can be spoken to before any of them begins.
@@ -82,7 +82,7 @@
         actor._post = lambda delay, message, args: mailbox.put(
             (self.now() + delay if delay > 0 else 0.0, message, args)
         )
-        account = self.busy[name] = [0.0, 0]
+        account = self.busy[name] = {}
         turn = threading.Lock()  # held by whichever thread delivers a message to this actor
         turn.acquire()  # until it has begun
 
@@ -101,10 +101,11 @@
         )
 
     def take_account(self):
-        """{actor: (seconds in its messages, messages)} since the last call."""
-        taken = {name: tuple(account) for name, account in self.busy.items()}
-        for account in self.busy.values():
-            account[:] = [0.0, 0]
+        """{actor: {message: [seconds, count]}} since the last call, waits included."""
+        taken = {}
+        for name, account in self.busy.items():
+            taken[name] = dict(account)
+            account.clear()
         return taken
 
     def _run(self, actor, mailbox, turn, account):
@@ -141,5 +142,8 @@
         except Exception:
             # One bad message must not end the controller; its sender repeats what matters.
             log.exception("message %s to %s failed; it is dropped", message, type(actor).__name__)
-        account[0] += time.perf_counter() - begun
-        account[1] += 1
+        row = account.get(message)
+        if row is None:
+            row = account[message] = [0.0, 0]
+        row[0] += time.perf_counter() - begun
+        row[1] += 1
--- a/emberglade/main.py
+++ b/emberglade/main.py
@@ -16,17 +16,25 @@
     parser.add_argument(
         "command",
         nargs="?",
-        choices=("serve", "check"),
+        choices=("serve", "check", "profile"),
         default="serve",
-        help="serve (default), or check the settings and start nothing",
+        help="serve (default); check the settings and start nothing; or profile: sum up the "
+        "accounts in controllers' logs, read from standard input",
     )
     parser.add_argument(
         "--operators", metavar="FILE", help="the operators' own settings, protobuf text format"
     )
     parser.add_argument(
-        "--config", metavar="FILE", required=True, help="the platform's settings, TOML"
+        "--config", metavar="FILE", help="the platform's settings, TOML; not needed for profile"
     )
     options = parser.parse_args(arguments)
+    if options.command == "profile":
+        from .accounting import read_accounts, render
+
+        print(render(read_accounts(sys.stdin)))
+        return 0
+    if options.config is None:
+        parser.error("--config is needed")
     try:
         settings = load_platform(options.config)
         operators = load_operators(options.operators)
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -1,13 +1,13 @@
-"""Puts one controller together: the actors, the links, and the two servers."""
+"""Puts one controller together: the actors, the clients, and the two servers."""
 
 import gc
 import logging
 import threading
-import time
 from dataclasses import dataclass
 
 import orjson
 
+from .accounting import Accountant
 from .actors import ThreadSystem
 from .agents import AgentManager, read_facts, read_question, read_withdrawal
 from .fleet import Autoscaler
@@ -15,12 +15,10 @@
 from .jobs import JobManager
 from .membership import FormatUpgrade, Member
 from .state import Store, read_since
-from .transport import Link, Pool, Server
+from .transport import Client, ClientPool, Server, ServerLimits
 
 log = logging.getLogger("emberglade")
 
-MOST_THREADS = 1700  # of 2,000 that a process may have; the others are links, actors and spare
-
 
 @dataclass
 class Node:
@@ -81,45 +79,30 @@
     return Node(store, job_manager, member, format_upgrade, agents, autoscaler, api)
 
 
-def tell_accounts(system, interval=60.0):
-    """Says now and then where the time goes, actor by actor."""
-    spent = time.process_time()
-    while True:
-        time.sleep(interval)
-        before, spent = spent, time.process_time()
-        log.info(
-            "processor %.1f %%; in actors, waits included: %s",
-            100 * (spent - before) / interval,
-            ", ".join(
-                f"{name} {100 * busy / interval:.1f} % for {count} messages"
-                for name, (busy, count) in system.take_account().items()
-            ),
-        )
-
-
-class Sockets:
-    """Who may hold how many of the descriptors, and so of the threads."""
+class DescriptorBudget:
+    """Who may hold how many of the descriptors."""
 
     def __init__(self, settings):
-        every = settings.fd_limit
-        self.calls = max(1, every // 8)  # kept connections to workers, for direct commands
-        self.callers = max(2, min(every // 64, 64))  # each may wait for a machine that hangs
-        self.internal = max(2, min(every // 16, 8 * settings.size))
-        # A controller that stands alone has to hold all workers; the rest is for links, listeners
+        total = settings.fd_limit
+        self.worker_calls = max(1, total // 8)  # kept connections to workers, for commands
+        # Threads for these: each may wait for a machine that hangs.
+        self.worker_callers = max(2, min(total // 64, 64))
+        self.internal = max(2, min(total // 16, 8 * settings.size))
+        # A controller that stands alone has to hold all workers; the rest is for clients, listeners
         # and what the platform itself needs.
-        self.front = max(2, min(every * 3 // 4, MOST_THREADS - self.internal - self.callers))
+        self.front = max(2, total * 3 // 4)
         self.users = max(1, self.front // 3)
-        if every < 64:
+        if total < 64:
             log.warning(
                 "settings.quota.fd_limit: %d is little: "
                 "%d connections of workers and users, %d of peers",
-                every,
+                total,
                 self.front,
                 self.internal,
             )
 
 
-def is_users(path):
+def is_user_path(path):
     """Whether a path is one that users ask for."""
     return path.startswith("/submissions")
 
@@ -131,25 +114,42 @@
     # Python does by default took a tenth of the processor at 600 machines.
     gc.set_threshold(50_000, 20, 50)
     system = ThreadSystem()
-    patience = min(settings.lease_s / 4, 3.0)
-    limits = Sockets(settings)
+    answer_timeout_s = min(settings.lease_s / 4, 3.0)
+    idle_timeout_s = 2 * settings.lease_s
+    descriptors = DescriptorBudget(settings)
     node = assemble(
         settings,
         operators,
-        Link(settings.state, 6, "state-link"),
-        Link(settings.cloud, 2, "cloud-link"),
+        Client(settings.state, 6, "state"),
+        Client(settings.cloud, 2, "cloud"),
         # Facts and questions each have a thread: neither waits for the other's long bodies.
-        {peer.name: Link(peer.address, 2, "peer-" + peer.name, 64) for peer in settings.peers},
-        Pool(limits.callers, limits.calls, "workers"),
+        {peer.name: Client(peer.address, 2, "peer-" + peer.name, 64) for peer in settings.peers},
+        ClientPool(descriptors.worker_callers, descriptors.worker_calls, "workers"),
     )
-    idle_s = 2 * settings.lease_s
     front = Server(
-        settings.front, node.api.route, patience + 0.5, idle_s, limits.front, is_users, limits.users
+        settings.front,
+        node.api.route,
+        ServerLimits(
+            max_connections=descriptors.front,
+            max_user_connections=descriptors.users,
+            answer_timeout_s=answer_timeout_s + 0.5,
+            idle_timeout_s=idle_timeout_s,
+        ),
+        is_user_path,
+    )
+    internal = Server(
+        settings.internal,
+        node.peer_route,
+        ServerLimits(
+            max_connections=descriptors.internal,
+            max_user_connections=0,
+            answer_timeout_s=answer_timeout_s,
+            idle_timeout_s=idle_timeout_s,
+        ),
     )
-    internal = Server(settings.internal, node.peer_route, patience, idle_s, limits.internal)
     system.spawn(node.actors())
     internal.begin("internal")
-    threading.Thread(target=tell_accounts, args=(system,), name="accounts", daemon=True).start()
+    Accountant(system, node, (front, internal)).begin()
     log.info("%s serves users and workers at %s:%d", settings.node, *settings.front)
-    front.serve_forever(poll_interval=3600)
+    front.serve_forever()
     return 0
--- /dev/null
+++ b/emberglade/transport/messages.py
@@ -0,0 +1,99 @@
+"""Requests and responses of the server as bytes: an incremental parser and an encoder."""
+
+from http import HTTPStatus
+from typing import NamedTuple
+
+import orjson
+
+MAX_BODY_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 16 * 1024
+MAX_REQUEST_BYTES = MAX_HEAD_BYTES + MAX_BODY_BYTES
+MAX_HEADERS = 100
+
+HEAD_END = b"\r\n\r\n"
+# First letters of the headers that matter: content-length, connection, transfer-encoding.
+RELEVANT_INITIALS = b"cCtT"
+REASONS = {status.value: status.phrase for status in HTTPStatus}
+
+
+class MalformedRequest(ValueError):
+    """The bytes received can't become a request; the connection has to be closed."""
+
+
+class Request(NamedTuple):
+    """One request, complete with its body."""
+
+    method: str
+    path: str
+    body: bytes
+    keep_alive: bool
+
+
+class Head(NamedTuple):
+    """What the request line and the headers say."""
+
+    method: str
+    path: str
+    content_length: int
+    keep_alive: bool
+
+
+def take_request(received):
+    """(Request, bytes that follow it), or None while the request is incomplete."""
+    head_length = received.find(HEAD_END)
+    if head_length < 0:
+        if len(received) > MAX_HEAD_BYTES:
+            raise MalformedRequest("the headers are too long")
+        return None
+    head = parse_head(received[:head_length])
+    body_start = head_length + len(HEAD_END)
+    end = body_start + head.content_length
+    if len(received) < end:
+        return None
+    request = Request(head.method, head.path, received[body_start:end], head.keep_alive)
+    return request, received[end:]
+
+
+def parse_head(data):
+    """The Head in the bytes up to the empty line."""
+    lines = data.split(b"\r\n")
+    words = lines[0].decode("latin-1").split()
+    if len(words) != 3 or not words[2].startswith("HTTP/1."):
+        raise MalformedRequest("malformed request line")
+    if len(lines) > MAX_HEADERS:
+        raise MalformedRequest("too many headers")
+    method, path, version = words
+    content_length, keep_alive = 0, version != "HTTP/1.0"
+    for line in lines[1:]:
+        if not line or line[0] not in RELEVANT_INITIALS:
+            continue
+        name, _, value = line.partition(b":")
+        name = name.lower()
+        if name == b"content-length":
+            content_length = parse_content_length(value)
+        elif name == b"connection":
+            keep_alive = value.strip().lower() != b"close"
+        elif name == b"transfer-encoding":
+            raise MalformedRequest("a body needs its Content-Length")
+    return Head(method, path, content_length, keep_alive)
+
+
+def parse_content_length(value):
+    """The length that a header names; MalformedRequest unless it is one that is allowed."""
+    value = value.strip()
+    if not value.isdigit() or int(value) > MAX_BODY_BYTES:
+        raise MalformedRequest("a body of at most 64 KiB with its Content-Length is needed")
+    return int(value)
+
+
+def encode_response(status, data, retry_after, close):
+    """The bytes of a response; `data` is encoded as JSON unless it is None."""
+    payload = b"" if data is None else orjson.dumps(data)
+    retry = f"Retry-After: {retry_after}\r\n" if retry_after is not None else ""
+    connection = "Connection: close\r\n" if close else ""
+    head = (
+        f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(payload)}\r\n{retry}{connection}\r\n"
+    )
+    return head.encode() + payload
