--- a/emberglade/jobs/scheduler.py
+++ b/emberglade/jobs/scheduler.py
@@ -188,15 +188,18 @@
             for job in waiting
             if self.mine(job) and job.waiting_count() and self.pressing(job, now)
         ]
+        if not pressing:
+            return
+        rules = placement.preempt.StopRules(room, teams)
+        running = {
+            placement.preempt.stop_class(job.spec): job.spec
+            for job in self.jobs.values()
+            if job.bound_count()
+        }
         own = [
             job
             for job in pressing
-            if any(
-                placement.preempt.may_stop(job.spec, other.spec, room, teams)
-                and other is not job
-                and other.bound_count()
-                for other in self.jobs.values()
-            )
+            if any(rules.may_stop(job.spec, victim) for victim in running.values())
         ]
         if not own:
             return
@@ -223,15 +226,14 @@
                 and not job.withdrawn
             ):
                 turn.give(job.spec, bound.machine)
+        rules = placement.preempt.StopRules(room, teams)  # the teams use less by now
         rows = {}  # machine -> what may be stopped there, the cheapest first
         kinds = list({(job.spec.rank, job.spec.team): job.spec for job in own}.values())
         for job in self.jobs.values():
             if (
                 job.withdrawn
                 or self.needs_relayout(job)
-                or not any(
-                    placement.preempt.may_stop(spec, job.spec, room, teams) for spec in kinds
-                )
+                or not any(rules.may_stop(spec, job.spec) for spec in kinds)
             ):
                 continue
             for task, bound in job.bound():
--- a/emberglade/placement/preempt.py
+++ b/emberglade/placement/preempt.py
@@ -54,6 +54,30 @@
     )
 
 
+def stop_class(spec):
+    """All of a job that `may_stop` looks at: jobs of one class are alike to it."""
+    return spec.rank, spec.team, spec.cpus, spec.gpus
+
+
+class StopRules:
+    """The answers of `may_stop` within one round, each worked out once for two classes of jobs.
+
+    They hold as long as no task is bound or unbound.
+    """
+
+    def __init__(self, room, teams):
+        self.room, self.teams = room, teams
+        self.known = {}
+
+    def may_stop(self, spec, victim):
+        """Whether a task of `victim` may be stopped to make room for one of `spec`."""
+        key = stop_class(spec), stop_class(victim)
+        allowed = self.known.get(key)
+        if allowed is None:
+            allowed = self.known[key] = may_stop(spec, victim, self.room, self.teams)
+        return allowed
+
+
 def for_limit(spec, rows, room, teams, fresh):
     """Victims of the same team whose end brings one task of `spec` within its limit."""
     team = teams[spec.team]
--- a/run.py
+++ b/run.py
@@ -1,9 +1,14 @@
 """Start one emberglade controller: `python3 run.py --config settings.toml`."""
 
+import os
 import sys
-from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent / "target" / "deps"))
+TARGET = os.path.join(os.path.dirname(os.path.abspath(__file__)), "target")
+
+sys.path.insert(0, os.path.join(TARGET, "deps"))
+if os.path.isdir(os.path.join(TARGET, "bytecode")):
+    # Compiled by the build (`make_bytecode.py`): compiling takes more than half of a start.
+    sys.pycache_prefix = os.path.join(TARGET, "bytecode")
 
 from emberglade.main import main  # noqa: E402
 
