4,000 machines: taints fit transactions and keys, requests by the cloud's budget; memory guard

Cause, found by the new scenarios: the taints of nearly all of 4,000 machines were put into one transaction above 64 KiB, and grew by a byte each in full keys; the state service refused both for ever, so no task of these machines moved (fleet/thousands_silent.txt, fleet/four_thousand.txt: both fail on the code before). Change: a change of taints keeps within a transaction, a taint that outgrows its key moves. Rentals and returns are several requests a round, lists at most half of the cloud's calls, lost machines are asked about in turns. A guard of memory sheds cached final states and puts submissions off; small quotas are warned of.

--- a/emberglade/agents/exchange.py
+++ b/emberglade/agents/exchange.py
@@ -10,7 +10,7 @@
 
 log = logging.getLogger("emberglade.agents")
 
-MOST_ASKED = 1000  # machines in one question: well below 64 KiB
+MAX_ASKED = 1000  # machines in one question, so that it stays well below 64 KiB
 
 
 class PeerExchange:
@@ -23,6 +23,7 @@
         self.asked_by = {}  # peer -> when it last asked here, and so could get an answer
         self.asked = {}  # peer -> when it was asked
         self.asked_whole = float("-inf")
+        self.asked_from = 0  # where among the lost machines the next question begins
         self.inventory, self.inventory_told = {}, float("-inf")
         self.newcomers = []
         self.deaf_now, self.hearing_now = [], []
@@ -42,6 +43,7 @@
             return
         if whole:
             self.asked_whole = now
+        only = None if whole else self.next_asked(lost)
         for name, link in self.peers.items():
             if now - self.asked.get(name, -100) < 3 * self.settings.report_s:
                 continue
@@ -49,11 +51,17 @@
             link.call(
                 "POST",
                 "/peer/heard",
-                wire.question(self.settings.node, None if whole else lost[:MOST_ASKED]),
+                wire.question(self.settings.node, only),
                 2 * self.settings.report_s,
-                self.then("peer_heard", name, now, None if whole else frozenset(lost[:MOST_ASKED])),
+                self.then("peer_heard", name, now, None if whole else frozenset(only)),
             )
 
+    def next_asked(self, lost):
+        """The machines that the next question is about: all, or in turns if they are too many."""
+        first = self.asked_from if self.asked_from < len(lost) else 0
+        self.asked_from = first + MAX_ASKED
+        return lost[first : first + MAX_ASKED]
+
     def on_tick(self):
         self.after(min(1.0, self.settings.report_s), "tick")
         self.answer_late(self.now())
--- a/emberglade/config/__init__.py
+++ b/emberglade/config/__init__.py
@@ -2,5 +2,13 @@
 
 from .operators import Operators, load_operators
 from .platform import Settings, SettingsError, load_platform
+from .quota import small_quota_warnings
 
-__all__ = ["Operators", "Settings", "SettingsError", "load_operators", "load_platform"]
+__all__ = [
+    "Operators",
+    "Settings",
+    "SettingsError",
+    "load_operators",
+    "load_platform",
+    "small_quota_warnings",
+]
--- a/emberglade/fleet/autoscaler.py
+++ b/emberglade/fleet/autoscaler.py
@@ -49,6 +49,7 @@
         self.tainting = {}  # those that are being written
         self.listing = False
         self.list_found = []
+        self.list_pages = 0  # of the list that was read last, or is being read
         self.list_asked = 0.0
         self.occupied = set()
         self.silence = {}
@@ -102,7 +103,7 @@
         self.wishes, self.tainting = {}, {}
         self.refused = {}
         self.short_before = {}  # machines missing in a zone as of the last round
-        self.list_found, self.listing = [], False
+        self.list_found, self.list_pages, self.listing = [], 0, False
         self.listed_once = False
         self.moves = 0.0  # replicas that may be moved by now
         # The first round comes soon: after a take-over or at the very start nothing is on its way.
@@ -126,13 +127,25 @@
             self.ask_catalog()
         if not self.types:
             return
-        if not self.listing and now - self.list_asked > self.settings.list_lag_s / 2:
+        if not self.listing and now - self.list_asked > self.list_interval():
             self.list_asked, self.listing, self.list_found = now, True, []
+            self.list_pages = 0
             self.cloud.call("GET", wire.list_path(""), None, 3.0, self.then("listed"))
         self.job_manager.tell("occupied", self.then("occupancy"))
         self.agents.tell("silence", self.then("silent"))
         self.count_demand(now)
 
+    def list_interval(self):
+        """Lists take at most half of what the cloud answers, however many pages they have."""
+        return max(self.settings.list_lag_s / 2, 2 * self.list_pages / self.settings.cloud_rps)
+
+    def requests_a_round(self):
+        """How many requests of one kind a round may make: a third of what the cloud answers in it,
+        and one for each zone of the smallest clouds.
+        """
+        a_third = self.settings.cloud_rps * self.operators.cost_round_s / 3
+        return max(len(self.settings.zones), int(a_third))
+
     def count_demand(self, now):
         total = {}
         for table in self.tables.values():
--- a/emberglade/fleet/machines.py
+++ b/emberglade/fleet/machines.py
@@ -8,7 +8,7 @@
 log = logging.getLogger("emberglade.fleet")
 
 
-MOST_RETURNED = 100  # machines in one return, PROTOCOL's limit
+MAX_RETURNED = 100  # machines in one return, PROTOCOL's limit
 
 
 class MachineWatch:
@@ -29,6 +29,7 @@
             return
         rows, more = page
         self.list_found += rows
+        self.list_pages += 1
         if more and rows:
             self.cloud.call("GET", wire.list_path(rows[-1].name), None, 3.0, self.then("listed"))
             return
@@ -173,13 +174,16 @@
             elif machine.seen and now - machine.seen > 6 * self.settings.lease_s and taint is None:
                 drain.append(machine.name)
         self.taint(drain, "drain")
-        ready = ready[:MOST_RETURNED]
-        if ready:
-            self.returning.update(ready)
-            log.info("giving %s back to the cloud", some(ready))
-            self.cloud.call(
-                "POST", "/hosts/return", wire.give_back(ready), 4.0, self.then("given_back", ready)
-            )
+        for first in range(0, len(ready), MAX_RETURNED)[: self.requests_a_round()]:
+            self.give_back(ready[first : first + MAX_RETURNED])
+
+    def give_back(self, names):
+        """Returns up to MAX_RETURNED machines to the cloud."""
+        self.returning.update(names)
+        log.info("giving %s back to the cloud", some(names))
+        self.cloud.call(
+            "POST", "/hosts/return", wire.give_back(names), 4.0, self.then("given_back", names)
+        )
 
     def long_deaf(self, machine, now):
         """Deaf for so long that another machine is to take its place for good."""
--- a/emberglade/fleet/rentals.py
+++ b/emberglade/fleet/rentals.py
@@ -9,7 +9,7 @@
 log = logging.getLogger("emberglade.fleet")
 
 
-MOST_RENTED = 50  # machines in one request, PROTOCOL's limit
+MAX_RENTED = 50  # machines in one request, PROTOCOL's limit
 # Of all replicas a second: with a second or two each, a loss of about 0.0005.
 MOVED_SHARE = 1 / 3000
 
@@ -144,33 +144,45 @@
         ]
         if not zones:
             return False
-        plan = {}
-        for _ in range(min(count, MOST_RENTED * len(zones))):
-            zone = min(
-                (z for z in zones if plan.get(z, 0) < MOST_RENTED), key=lambda z: (here[z], z)
-            )
+        for zone, number in self.spread(here, zones, count).items():
+            for first in range(0, number, MAX_RENTED):
+                self.ask_for(now, machine_type.name, zone, spot, min(MAX_RENTED, number - first))
+        return True
+
+    def spread(self, here, zones, count):
+        """{zone: machines to ask for}: each goes where there are fewest; `here` counts them."""
+        plan, requests = {}, self.requests_a_round()
+        for _ in range(count):
+            # A zone that has had its last request filled would take a further one.
+            open_zones = [z for z in zones if plan.get(z, 0) % MAX_RENTED or requests > 0]
+            if not open_zones:
+                break
+            zone = min(open_zones, key=lambda z: (here[z], z))
+            requests -= plan.get(zone, 0) % MAX_RENTED == 0
             here[zone] += 1
             plan[zone] = plan.get(zone, 0) + 1
-        for zone, number in plan.items():
-            self.requests += 1
-            request = f"{self.settings.node}-{self.incarnation}-{self.requests}"
-            self.renting[request] = (machine_type.name, zone, spot, number)
-            log.info(
-                "renting %d %s %s in %s (%s)",
-                number,
-                "spot" if spot else "ordinary",
-                machine_type.name,
-                zone,
-                request,
-            )
-            self.cloud.call(
-                "POST",
-                "/hosts",
-                wire.rent(request, machine_type.name, zone, spot, number),
-                4.0,
-                self.then("rented", request, now, 0),
-            )
-        return True
+        return plan
+
+    def ask_for(self, now, name, zone, spot, number):
+        """Sends one request for up to MAX_RENTED machines; its name is never used again."""
+        self.requests += 1
+        request = f"{self.settings.node}-{self.incarnation}-{self.requests}"
+        self.renting[request] = (name, zone, spot, number)
+        log.info(
+            "renting %d %s %s in %s (%s)",
+            number,
+            "spot" if spot else "ordinary",
+            name,
+            zone,
+            request,
+        )
+        self.cloud.call(
+            "POST",
+            "/hosts",
+            wire.rent(request, name, zone, spot, number),
+            4.0,
+            self.then("rented", request, now, 0),
+        )
 
     def on_rented(self, request, asked, tries, status, body):
         plan = self.renting.get(request)
--- a/emberglade/fleet/taints.py
+++ b/emberglade/fleet/taints.py
@@ -8,6 +8,8 @@
 
 KEYS = 4  # fewer are fewer writes; a value holds some hundred taints
 FRAME_BYTES = 2  # the braces of a value
+# Of the values in one transaction: PROTOCOL's 64 KiB, less conditions and names of keys and fields.
+MAX_CHANGE_BYTES = 48 * 1024
 
 
 def key_of(machine):
@@ -65,7 +67,8 @@
         """({key: (stamp, {machine: taint})}, the wishes that they carry out); what finds no room
         waits.
 
-        At most `most` keys are written, none above `value_bytes`. A key that a smaller limit finds
+        At most `most` keys are written, none above `value_bytes`, and no more in all than a
+        transaction takes. A key that a smaller limit finds
         too large passes taints on to others; `may_move`: whether every controller reads that
         rightly.
         """
@@ -100,6 +103,9 @@
         further = taken // self.value_bytes if taken > self.value_bytes else 0
         if len(self.open) + self.reserved + 1 + further > self.most:
             return False
+        room = MAX_CHANGE_BYTES - sum(self.sizes.values()) - self.reserved * self.value_bytes
+        if self.open and taken + further * self.value_bytes > room:
+            return False
         self.open[key], self.sizes[key] = rows, taken
         self.reserved += further
         return True
@@ -109,12 +115,23 @@
         key = self.taints.key_holding(machine) or self.key_with_room(machine, taint)
         if key is None or not self.take(key):
             return False
-        rows = self.open[key]
-        if machine in rows:
-            self.sizes[key] -= size((machine, rows.pop(machine)))
+        before = size((machine, self.open[key][machine])) if machine in self.open[key] else 0
+        more = (size((machine, taint)) if taint is not None else 0) - before
+        # Once broken: 4,000 machines fell silent together, their taints made a transaction above
+        # the limit, and then, each a byte longer, values above theirs; these were refused again
+        # and again (fleet/thousands_silent.txt).
+        if more > 0 and sum(self.sizes.values()) + more > MAX_CHANGE_BYTES:
+            return False
+        target = key
+        if more > 0 and self.sizes[key] + more > self.value_bytes:
+            target = self.key_with_room(machine, taint, full=key)
+            if target is None or not self.take(target):
+                return False
+        self.sizes[key] -= before
+        self.open[key].pop(machine, None)
         if taint is not None:
-            rows[machine] = taint
-            self.sizes[key] += size((machine, taint))
+            self.open[target][machine] = taint
+            self.sizes[target] += size((machine, taint))
         return True
 
     def key_with_room(self, machine, taint, full=None):
--- a/emberglade/frontdoor/api.py
+++ b/emberglade/frontdoor/api.py
@@ -19,9 +19,9 @@
 
 log = logging.getLogger("emberglade.frontdoor")
 
-MOST_FINAL = 20_000  # final states kept at hand; others are read from the state service
+MAX_FINAL_STATES = 20_000  # final states kept at hand; others are read from the state service
 RETRY_S = 1
-LEAST_SUBMISSIONS = 8  # that may be open at the same time, however small the write budget is
+MIN_OPEN_SUBMISSIONS = 8  # that may be open at the same time, however small the write budget is
 
 
 class Api(AwaitedJobs, Follower):
@@ -35,11 +35,12 @@
         self.live = {}  # job -> (its key's value, stamp, {(generation, part): value}) as committed
         self.final = OrderedDict()  # job -> (glow, done, tasks): final states never change
         self.open_submissions = 0
+        self.memory_short = False
         # Questions wait for a sync together; more than a few syncs' worth would time out.
         self.open_questions, self.most_questions = 0, int(2 * settings.state_rps)
         # More than two seconds' worth of the service's write budget can't be accepted in time.
         self.most_submissions = max(
-            LEAST_SUBMISSIONS, int(2 * settings.state_write_rps / settings.size)
+            MIN_OPEN_SUBMISSIONS, int(2 * settings.state_write_rps / settings.size)
         )
 
     def on_changed(self, events, revision, whole):
@@ -81,12 +82,12 @@
             except ValueError:
                 reply(400, wire.error("the report is not JSON"))
                 return
-            self.agents.hand("beat", data, reply)
+            self.agents.tell_inline("beat", data, reply)
         elif path == "/ready":
             if method != "GET":
                 reply(405, wire.error("GET is needed"))
                 return
-            self.agents.hand(
+            self.agents.tell_inline(
                 "ready",
                 lambda ready: (
                     reply(200, {"ready": True})
@@ -98,19 +99,19 @@
             if method != "POST":
                 reply(405, wire.error("POST is needed"))
                 return
-            self.hand("submit", body, reply)
+            self.tell_inline("submit", body, reply)
         elif path.startswith("/submissions/"):
             words = path.split("/")[2:]
             if len(words) == 1 and words[0]:
                 if method != "GET":
                     reply(405, wire.error("GET is needed"))
                 else:
-                    self.hand("poll", words[0], reply)
+                    self.tell_inline("poll", words[0], reply)
             elif len(words) == 2 and words[0] and words[1] == "abort":
                 if method != "POST":
                     reply(405, wire.error("POST is needed"))
                 else:
-                    self.hand("abort", words[0], reply, 0)
+                    self.tell_inline("abort", words[0], reply, 0)
             else:
                 reply(404, wire.error("no such path"))
         else:
@@ -122,6 +123,12 @@
 
     # --- submissions
 
+    def on_memory(self, short):
+        """While memory is short no job is accepted here, and no final state is kept at hand."""
+        self.memory_short = short
+        if short:
+            self.final.clear()
+
     def on_submit(self, body, reply):
         try:
             data = orjson.loads(body)
@@ -151,6 +158,9 @@
         if not self.types:
             self.later(reply, "the machine types are not known yet")
             return
+        if self.memory_short:
+            self.look_up(spec.id, self.then("put_off", reply))
+            return
         if self.open_submissions >= self.most_submissions:
             reply(429, wire.error("too many submissions at once"), RETRY_S)
             return
@@ -174,6 +184,12 @@
             self.then("submitted", spec, reply),
         )
 
+    def on_put_off(self, reply, known, answer):
+        if known:
+            reply(200, answer)
+        else:
+            self.later(reply, "this controller is short of memory")
+
     def on_not_yet(self, reply, known, answer):
         if known:
             reply(200, answer)
@@ -291,7 +307,7 @@
     def on_look_read(self, job_id, reply, status, data, stamp):
         if status == 200 and isinstance(data, dict) and data.get("glow") in ("done", "withdrawn"):
             self.final[job_id] = (data["glow"], data.get("d", 0), data.get("n", 0))
-            if len(self.final) > MOST_FINAL:
+            if len(self.final) > MAX_FINAL_STATES:
                 self.final.popitem(last=False)
             reply(True, self.final_answer(job_id))
         elif status == 404:
--- a/emberglade/main.py
+++ b/emberglade/main.py
@@ -5,7 +5,7 @@
 import os
 import sys
 
-from .config import SettingsError, load_operators, load_platform
+from .config import SettingsError, load_operators, load_platform, small_quota_warnings
 
 
 def main(arguments=None):
@@ -46,6 +46,8 @@
             f"{options.config}: node {settings.node} in {settings.zone}, {settings.size} nodes, "
             f"{len(settings.teams)} teams: ok"
         )
+        for warning in small_quota_warnings(settings):
+            print(f"{options.config}: warning: {warning}")
         if options.operators:
             print(f"{options.operators}: ok")
         return 0
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -10,10 +10,12 @@
 from .accounting import Accountant
 from .actors import ThreadSystem
 from .agents import AgentManager, read_facts, read_question, read_withdrawal
+from .config import small_quota_warnings
 from .fleet import Autoscaler
 from .frontdoor import Api
 from .jobs import JobManager
 from .membership import FormatUpgrade, Member
+from .memory_guard import MemoryGuard
 from .state import Store, read_since
 from .transport import Client, ClientPool, Server, ServerLimits
 
@@ -43,6 +45,17 @@
             (self.api, "frontdoor"),
         ]
 
+    def tell_memory(self, short):
+        """Memory has become short, or enough again."""
+        self.api.tell("memory", short)
+
+    def describe(self):
+        """How much there is of what takes memory."""
+        return (
+            f"{len(self.store.copy)} live keys, {len(self.job_manager.jobs)} jobs, "
+            f"{len(self.agents.detector.view)} machines, {len(self.api.final)} final states at hand"
+        )
+
     def peer_route(self, method, path, body, reply):
         try:
             data = orjson.loads(body) if body else None
@@ -50,29 +63,29 @@
             reply(400, {"error": "not JSON"})
             return
         if path == "/peer/heard" and method == "POST":
-            self.agents.hand("heard", read_question(data), reply)
+            self.agents.tell_inline("heard", read_question(data), reply)
         elif path == "/peer/facts" and method == "POST" and isinstance(data, list):
             for fact in read_facts(data):
                 self.job_manager.tell(*fact)
             reply(200, {})
         elif path == "/peer/changes" and method == "POST" and read_since(data) is not None:
-            self.store.hand("changes_for_peer", read_since(data), reply)
+            self.store.tell_inline("changes_for_peer", read_since(data), reply)
         elif path == "/peer/withdrawn" and method == "POST" and read_withdrawal(data) is not None:
-            self.agents.hand("hear_withdrawal", *read_withdrawal(data))
+            self.agents.tell_inline("hear_withdrawal", *read_withdrawal(data))
             reply(200, {})
         else:
             reply(404, {"error": "no such path"})
 
 
-def assemble(settings, operators, state_link, cloud_link, peer_links, workers):
+def assemble(settings, operators, state_client, cloud_client, peer_clients, workers):
     """The actors of one node, not running yet."""
-    store = Store(settings, state_link)
+    store = Store(settings, state_client)
     job_manager = JobManager(settings, store)
     listeners = [job_manager]
     member = Member(settings, store, listeners)
-    agents = AgentManager(settings, store, job_manager, member, peer_links, workers)
+    agents = AgentManager(settings, store, job_manager, member, peer_clients, workers)
     job_manager.agents = agents
-    autoscaler = Autoscaler(settings, operators, store, job_manager, agents, cloud_link)
+    autoscaler = Autoscaler(settings, operators, store, job_manager, agents, cloud_client)
     api = Api(settings, store, agents)
     format_upgrade = FormatUpgrade(settings, store)
     listeners += [agents, autoscaler, format_upgrade, api]
@@ -92,14 +105,6 @@
         # and what the platform itself needs.
         self.front = max(2, total * 3 // 4)
         self.users = max(1, self.front // 3)
-        if total < 64:
-            log.warning(
-                "settings.quota.fd_limit: %d is little: "
-                "%d connections of workers and users, %d of peers",
-                total,
-                self.front,
-                self.internal,
-            )
 
 
 def is_user_path(path):
@@ -117,6 +122,8 @@
     answer_timeout_s = min(settings.lease_s / 4, 3.0)
     idle_timeout_s = 2 * settings.lease_s
     descriptors = DescriptorBudget(settings)
+    for warning in small_quota_warnings(settings):
+        log.warning(warning)
     node = assemble(
         settings,
         operators,
@@ -150,6 +157,7 @@
     system.spawn(node.actors())
     internal.begin("internal")
     Accountant(system, node, (front, internal)).begin()
+    MemoryGuard(settings.mem_mb, node.tell_memory, node.describe).begin()
     log.info("%s serves users and workers at %s:%d", settings.node, *settings.front)
     front.serve_forever()
     return 0
--- a/tests/scenario_kinds/__init__.py
+++ b/tests/scenario_kinds/__init__.py
@@ -2,16 +2,20 @@
 
 from .actors import ActorsScenario
 from .cluster import ClusterScenario
+from .memory import MemoryScenario
 from .server import ServerScenario
 from .settings import SettingsScenario
 from .sizing import SizingScenario
+from .start import StartScenario
 
 KINDS = {
     "actors": ActorsScenario,
+    "memory": MemoryScenario,
     "server": ServerScenario,
     "cluster": ClusterScenario,
     "sizing": SizingScenario,
     "settings": SettingsScenario,
+    "start": StartScenario,
 }
 
 __all__ = ["KINDS"]
--- a/tests/scenario_kinds/cluster.py
+++ b/tests/scenario_kinds/cluster.py
@@ -1,5 +1,7 @@
 """Whole deployments on simulated time."""
 
+import importlib
+
 import breakages
 import orjson
 from stand_ins import faults
@@ -16,6 +18,7 @@
         self.seed, self.teams, self.plan, self.until, self.limits = 1, {}, [], 100.0, {}
         self.production = ()
         self.cluster, self.answers, self.named = None, [], {}
+        self.calls = {}  # functions that are counted -> calls
 
     def step(self, verb, words):
         if verb in ("seed", "until"):
@@ -31,6 +34,8 @@
             self.production = words
         elif verb == "break":
             getattr(breakages, words[0])(self.patch)
+        elif verb == "count":
+            self.count_calls(words[0])
         elif verb in ("at", "random"):
             self.plan.append((verb, words))
         elif verb == "expect":
@@ -39,6 +44,23 @@
         else:
             raise AssertionError(f"no verb {verb}")
 
+    def count_calls(self, path):
+        """Counts the calls of a function named like `placement.preempt.may_stop`."""
+        module_name, _, name = path.rpartition(".")
+        module = importlib.import_module("emberglade." + module_name)
+        original = getattr(module, name)
+        self.calls[name] = 0
+
+        def counted(*args):
+            self.calls[name] += 1
+            return original(*args)
+
+        self.patch.setattr(module, name, counted)
+
+    def expect_calls(self, name, least, most):
+        """A counted function was called so often, over all controllers."""
+        assert int(least) <= self.calls[name] <= int(most), self.calls
+
     def play(self):
         if self.cluster is not None:
             return
@@ -236,6 +258,10 @@
     def do_state_outage(self, seconds):
         self.cluster.state.outage(float(seconds))
 
+    def do_memory(self, node, word):
+        """This controller's memory is `short`, or `enough` again."""
+        self.cluster.nodes[self.node(node)].tell_memory(word == "short")
+
     def do_cloud_outage(self, seconds):
         self.cluster.cloud.down_until = self.cluster.world.now + float(seconds)
 
@@ -297,6 +323,10 @@
     def expect_within_limits(self):
         assert not self.refused_sizes(), self.refused_sizes()[:3]
 
+    def expect_no_transaction_too_large(self):
+        """No transaction was refused for its bytes."""
+        assert not self.cluster.state.refused_transactions
+
     def expect_beyond_limits(self):
         """For broken builds: something was refused for its size."""
         assert self.refused_sizes()
@@ -432,6 +462,15 @@
         )
         assert on == int(count), on
 
+    def expect_running_at_least(self, prefix, count):
+        """So many tasks of these jobs are on machines."""
+        on = sum(
+            len(places)
+            for name, places in self.cluster.observer.on.items()
+            if name.startswith("job-" + prefix)
+        )
+        assert on >= int(count), on
+
     def expect_written(self, kind, most):
         """No more keys than that were written below eg/l/<kind>."""
         assert self.cluster.state.written.get("eg/l/" + kind, 0) <= int(most), (
--- a/tests/scenario_kinds/settings.py
+++ b/tests/scenario_kinds/settings.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from emberglade.config import SettingsError, load_operators, load_platform
+from emberglade.config import (
+    SettingsError,
+    load_operators,
+    load_platform,
+    small_quota_warnings,
+)
 
 GOOD = """node_name = "hearth-0"
 location = "a"
@@ -42,7 +47,8 @@
 
 
 class SettingsScenario:
-    """`replace "old" "new"` in a good file, then `expect ok` or `expect error "some text"`."""
+    """`replace "old" "new"` in a good file, then `expect ok`, `expect error "some text"` or
+    `expect warning "some text"`."""
 
     def __init__(self, patch, tmp_path):
         self.tmp, self.text = tmp_path, GOOD
@@ -59,6 +65,13 @@
                 load_platform(self.write())
             assert "\n" not in str(caught.value) and "settings.toml" in str(caught.value)
             self.text = GOOD
+        elif verb == "expect" and words[0] == "warning":
+            warnings = small_quota_warnings(load_platform(self.write()))
+            assert len(warnings) == 1 and words[1] in warnings[0], warnings
+            self.text = GOOD
+        elif verb == "expect" and words[0] == "no_warning":
+            assert not small_quota_warnings(load_platform(self.write()))
+            self.text = GOOD
         elif verb == "operators":
             file = self.tmp / "operators.txtpb"
             file.write_text(words[0])
--- a/tests/stand_ins/state.py
+++ b/tests/stand_ins/state.py
@@ -4,6 +4,8 @@
 
 import orjson
 
+TRANSACTION_BYTES = 64 * 1024
+
 
 class StateService:
     """The keys, their revisions, and what is refused."""
@@ -35,6 +37,7 @@
         self.fallen = False  # whether the limits fell: what is too large is refused from then on
         # (who, key) of the values and transactions refused for their size since
         self.refused_sizes = []
+        self.refused_transactions = 0  # above TRANSACTION_BYTES in all
         self.largest_of = {}  # eg/l/m and the like -> bytes of the largest value written
         world.hosts["state"] = self.handle
 
@@ -173,7 +176,8 @@
         if excess is not None:
             self.refused_sizes.append((source, excess))
             return 400, {"error": "too large"}
-        if len(orjson.dumps(data)) > 64 * 1024:
+        if len(orjson.dumps(data)) > TRANSACTION_BYTES:
+            self.refused_transactions += 1
             return 400, {"error": "the transaction is too large"}
         if not self.take("writes", len(writes), self.write_rps):
             return 429, {}
