--- a/emberglade/actors.py
+++ b/emberglade/actors.py
@@ -19,26 +19,26 @@
 class Actor:
     """Base of all actors. Subclasses define `on_<message>` and may define `on_begin`."""
 
-    _post = _hand = None
+    _post = _tell_inline = None
     system = None
 
     def tell(self, message, *args):
         self._post(0.0, message, args)
 
-    def hand(self, message, *args):
+    def tell_inline(self, message, *args):
         """Like `tell`, but in the caller's thread if the actor has nothing else to do just now.
 
         It is still one message at a time, in the actor's own turn. Two changes of threads a report
         cost more than the report.
         """
-        if self._hand is None:
+        if self._tell_inline is None:
             self._post(0.0, message, args)
         else:
-            self._hand(message, args)
+            self._tell_inline(message, args)
 
-    def then_hand(self, message, *context):
-        """Like `then`, with `hand`."""
-        return lambda *result: self.hand(message, *context, *result)
+    def then_inline(self, message, *context):
+        """Like `then`, with `tell_inline`."""
+        return lambda *result: self.tell_inline(message, *context, *result)
 
     def after(self, delay, message, *args):
         self._post(delay, message, args)
@@ -86,7 +86,7 @@
         turn = threading.Lock()  # held by whichever thread delivers a message to this actor
         turn.acquire()  # until it has begun
 
-        def hand(message, args):
+        def tell_inline(message, args):
             if not mailbox.empty() or not turn.acquire(blocking=False):
                 mailbox.put((0.0, message, args))
                 return
@@ -95,7 +95,7 @@
             finally:
                 turn.release()
 
-        actor._hand = hand
+        actor._tell_inline = tell_inline
         return threading.Thread(
             target=self._run, args=(actor, mailbox, turn, account), name=name, daemon=True
         )
--- a/emberglade/agents/tables.py
+++ b/emberglade/agents/tables.py
@@ -8,10 +8,10 @@
 
 
 TABLE_S = 5.0  # the DESIGN page's interval of tables
-MOST_PARTS = 9999  # further values of a table without machines: they never come
+UNREACHABLE_PARTS = 9999  # further values of a table without machines: they never come
 FRAME_BYTES = 96  # of a table's value: the node's incarnation, the table's number and field names
 # Of a table, however much the state service takes: transactions are limited too.
-MOST_VALUE = 32 * 1024
+MAX_VALUE_BYTES = 32 * 1024
 
 
 class Tables:
@@ -53,7 +53,7 @@
         number = f"{self.incarnation}-{self.table_number}"
         first = {
             "t": number,
-            "parts": MOST_PARTS,
+            "parts": UNREACHABLE_PARTS,
             "d": [[*pool, round(count, 4)] for pool, count in demand.items()],
             "wall": self.system.wall(),
             "z": [[*pool, round(count, 4)] for pool, count in shortage.items()],
@@ -63,7 +63,7 @@
             "types": types,
             "m": {},
         }
-        most = min(self.settings.value_bytes, MOST_VALUE) - FRAME_BYTES
+        most = min(self.settings.value_bytes, MAX_VALUE_BYTES) - FRAME_BYTES
         self.rows_in_table = self.needs_rows(now)
         # A table that lacks further values is never taken for a statement about machines.
         places = [{}]
--- a/emberglade/frontdoor/awaited.py
+++ b/emberglade/frontdoor/awaited.py
@@ -18,7 +18,7 @@
 
 log = logging.getLogger("emberglade.frontdoor")
 
-MOST_READS = 32  # final keys that one request may have read; a repeat of it finds them at hand
+MAX_READS = 32  # final keys that one request may have read; a repeat of it finds them at hand
 TRANSACTION_BYTES = 40 * 1024  # of the pieces in one transaction; PROTOCOL allows 64 KiB in all
 
 
@@ -60,7 +60,7 @@
         """`then(NeedsRead)` once the final keys of these jobs are read, or as many as one request
         may read.
         """
-        some = set(sorted(needs)[:MOST_READS])
+        some = set(sorted(needs)[:MAX_READS])
         waiting = NeedsRead(set(some), then, failed=len(some) < len(needs))
         for need in some:
             if need in self.reads:
--- a/emberglade/frontdoor/wire.py
+++ b/emberglade/frontdoor/wire.py
@@ -6,7 +6,7 @@
 from ..jobs.record import RANKS, Spec
 
 JOB_ID = re.compile(r"job-[0-9A-Za-z_-]{1,64}\Z", re.ASCII)
-MOST_TASKS = 100_000
+MAX_TASKS = 100_000
 
 
 class Malformed(Exception):
@@ -66,8 +66,8 @@
     if rank not in RANKS:
         raise Malformed(f"rank: one of {', '.join(RANKS)} is needed")
     tasks = data.get("embers")
-    if isinstance(tasks, bool) or not isinstance(tasks, int) or not 1 <= tasks <= MOST_TASKS:
-        raise Malformed(f"embers: a whole number from 1 to {MOST_TASKS} is needed")
+    if isinstance(tasks, bool) or not isinstance(tasks, int) or not 1 <= tasks <= MAX_TASKS:
+        raise Malformed(f"embers: a whole number from 1 to {MAX_TASKS} is needed")
     types = data.get("hearth_kinds")
     if types is not None and (
         not isinstance(types, list) or not types or not all(isinstance(t, str) and t for t in types)
--- a/emberglade/jobs/dependencies.py
+++ b/emberglade/jobs/dependencies.py
@@ -12,7 +12,7 @@
 from .record import Spec
 from .waiting import WaitingRecord, read_piece_key
 
-MOST_OUTCOMES = (
+MAX_OUTCOMES = (
     20_000  # jobs that are over whose outcome is kept at hand; others are read when needed
 )
 
@@ -192,7 +192,7 @@
         if job_id in self.outcomes:
             return
         self.outcomes[job_id] = outcome
-        if len(self.outcomes) > MOST_OUTCOMES:
+        if len(self.outcomes) > MAX_OUTCOMES:
             self.outcomes.popitem(last=False)
         self.unresolved.discard(job_id)
         if outcome is Outcome.WITHDRAWN:
--- a/emberglade/jobs/manager.py
+++ b/emberglade/jobs/manager.py
@@ -11,6 +11,7 @@
 from .cleanup import Cleanup
 from .commits import Commits
 from .committed import CommittedJobs
+from .preemption import Preemption
 from .record import (
     KEEP,
     SAVE,
@@ -27,16 +28,19 @@
 
 # Leases that a machine rests after errors, or a job that fails everywhere: nobody may wait beside
 # free room for much longer than a minute.
-MOST_REST = 4
+MAX_REST_LEASES = 4
 
 
-class JobManager(CommittedJobs, Scheduler, Commits, Releases, Relayout, Cleanup, Follower):
+class JobManager(
+    CommittedJobs, Scheduler, Preemption, Commits, Releases, Relayout, Cleanup, Follower
+):
     """Every controller's view of all live jobs, and the decisions on those that it holds."""
 
     def __init__(self, settings, store):
         self.settings, self.store = settings, store
         CommittedJobs.__init__(self, settings)
         Scheduler.__init__(self, settings)
+        Preemption.__init__(self)
         Commits.__init__(self, settings)
         Releases.__init__(self)
         Relayout.__init__(self)
@@ -87,9 +91,9 @@
             broken_job = len(machines) >= 3
             if not broken_job:
                 _, count = self.suspects.get(machine, (0, 0))
-                self.suspects[machine] = (now + lease * min(2**count, MOST_REST), count + 1)
+                self.suspects[machine] = (now + lease * min(2**count, MAX_REST_LEASES), count + 1)
             job.not_before[task] = now + (
-                lease * min(len(machines), MOST_REST) if broken_job else 0
+                lease * min(len(machines), MAX_REST_LEASES) if broken_job else 0
             )
             log.info(
                 "%s ended in error on %s; %s",
--- a/emberglade/jobs/releases.py
+++ b/emberglade/jobs/releases.py
@@ -17,7 +17,7 @@
 log = logging.getLogger("emberglade.jobs")
 
 WRITES_OF_ONE = 2  # changes that a release or an end takes
-MOST_READS = 16  # final keys of needs that are read at the same time
+MAX_READS = 16  # final keys of needs that are read at the same time
 
 
 class Releases:
@@ -45,7 +45,7 @@
 
     def read_needs(self):
         for need in self.graph.unresolved - self.needs_read:
-            if len(self.needs_read) >= MOST_READS:
+            if len(self.needs_read) >= MAX_READS:
                 return
             if self.own_waiting(self.graph.dependents.get(need, ())):
                 self.needs_read.add(need)
--- a/emberglade/jobs/scheduler.py
+++ b/emberglade/jobs/scheduler.py
@@ -4,7 +4,7 @@
 import math
 
 from .. import placement
-from .record import SAVE, Bound
+from .record import Bound
 
 log = logging.getLogger("emberglade.jobs")
 
@@ -15,7 +15,7 @@
     """
 
     place_due = False
-    placed_at = preempted_at = float("-inf")
+    placed_at = float("-inf")
 
     def __init__(self, settings):
         self.room = placement.Room(settings.teams)
@@ -26,7 +26,6 @@
         )  # jobs within their team's guarantee, worked out a few times a report interval
         self.guaranteed_at = float("-inf")
         self.suspects = {}  # machine -> (until, errors)
-        self.asked = {}  # (job, task, attempt) -> when its holder was asked to stop it
 
     def soon_place(self):
         if not self.place_due:
@@ -51,13 +50,13 @@
         usable.difference_update(
             [name for name, (until, _) in self.suspects.items() if until > now]
         )
-        turn = placement.Round(self.room, usable, self.images)
+        placing_round = placement.Round(self.room, usable, self.images)
         try:
-            self.play(now, waiting, turn)
+            self.play(now, waiting, placing_round)
         finally:
-            turn.undo()
+            placing_round.undo()
 
-    def play(self, now, waiting, turn):
+    def play(self, now, waiting, placing_round):
         """One round: takes room for everybody's waiting tasks in order, and binds its own.
 
         Every holder plays the round through for all jobs, in the same order: room that a free
@@ -87,8 +86,8 @@
             for job in waiting:
                 for row in [row for row in ahead if row[0].spec.rank < job.spec.rank]:
                     ahead.remove(row)
-                    turn.fill(row[0], math.ceil(row[1]))
-                most = min(job.waiting_count(), turn.most(job.spec), 256)
+                    placing_round.fill(row[0], math.ceil(row[1]))
+                most = min(job.waiting_count(), placing_round.most(job.spec), 256)
                 if within and job.spec.rank:
                     most = min(most, self.room.more_within_guarantee(job.spec))
                 if job.id in starving:
@@ -108,18 +107,18 @@
                         for task in job.waiting(now, most + past)
                         if hopeful or job.part(task).tried.get(task, 0) <= 3
                     ]
-                    played[job.id] = past + len(turn.fill(job, len(tasks) - past))
+                    played[job.id] = past + len(placing_round.fill(job, len(tasks) - past))
                 elif budget > 0:
-                    budget -= self.place(job, job.waiting(now, most), turn, wall)
-        self.preempt(now, waiting, turn)
+                    budget -= self.place(job, job.waiting(now, most), placing_round, wall)
+        self.preempt(now, waiting, placing_round)
         # A round costs more the more there is; so that rounds leave time for reports, the next one
         # comes no sooner than a few times what this one took, and a tenth of a report interval.
         self.placed_at = self.now() + max(3 * (self.now() - now), self.settings.report_s / 10)
 
-    def place(self, job, tasks, turn, wall):
+    def place(self, job, tasks, placing_round, wall):
         """Binds as many of the tasks as find room; returns how many."""
-        found = turn.fill(job, len(tasks))
-        turn.forget(len(found))
+        found = placing_round.fill(job, len(tasks))
+        placing_round.forget(len(found))
         if not found or (
             job.spec.together and not job.bound_count() and len(found) < job.waiting_count()
         ):
@@ -157,124 +156,6 @@
             and self.now() - job.last_bound > 8 * self.settings.lease_s
         )
 
-    def late_start(self, job, bound, now):
-        """Whether a task is the first sign of a job that waited that long: it is left alone for a
-        while.
-
-        Once broken: what had its turn was stopped for a higher rank before it began, had its turn
-        again, and so on; neither ran (meetings/turn_and_stop.txt).
-        """
-        age = self.system.wall() - job.spec.submitted - (now - bound.since)
-        return now - bound.since < 4 * self.settings.lease_s < age / 2 and not job.done_count()
-
-    def pressing(self, job, now):
-        """Whether a waiting job may have others stopped now: a deadline allows patience."""
-        spec = job.spec
-        age = self.system.wall() - spec.submitted
-        if spec.service:
-            return age > 2 * self.settings.report_s / 10
-        if job.id in self.guaranteed and age > self.settings.report_s:
-            return True
-        if spec.deadline_s is not None:
-            return spec.deadline_s - age < spec.estimate_s * 1.5 + self.settings.lease_s
-        return spec.rank < 2 and age > self.settings.lease_s
-
-    def preempt(self, now, waiting, turn):
-        if now - self.preempted_at < self.settings.report_s / 5:
-            return
-        room, teams = self.room, self.settings.teams
-        pressing = [
-            job
-            for job in waiting
-            if self.mine(job) and job.waiting_count() and self.pressing(job, now)
-        ]
-        if not pressing:
-            return
-        rules = placement.preempt.StopRules(room, teams)
-        running = {
-            placement.preempt.stop_class(job.spec): job.spec
-            for job in self.jobs.values()
-            if job.bound_count()
-        }
-        own = [
-            job
-            for job in pressing
-            if any(rules.may_stop(job.spec, victim) for victim in running.values())
-        ]
-        if not own:
-            return
-        self.preempted_at = now
-        self.asked = {
-            key: at for key, at in self.asked.items() if now - at < 2 * self.settings.report_s
-        }
-
-        def fresh(row):
-            # A start that is stopped within 30 s does not count as one for its user.
-            return now - row[2].since < 30
-
-        # What is being stopped already will be room; it is counted as such, not stopped for twice.
-        for job in self.jobs.values():
-            for bound in [bound for _, bound in job.bound() if bound.stop or job.withdrawn]:
-                turn.give(job.spec, bound.machine)
-        for job_id, task, attempt in self.asked:
-            job = self.jobs.get(job_id)
-            bound = job.part(task).bound.get(task) if job is not None else None
-            if (
-                bound is not None
-                and bound.attempt == attempt
-                and not bound.stop
-                and not job.withdrawn
-            ):
-                turn.give(job.spec, bound.machine)
-        rules = placement.preempt.StopRules(room, teams)  # the teams use less by now
-        rows = {}  # machine -> what may be stopped there, the cheapest first
-        kinds = list({(job.spec.rank, job.spec.team): job.spec for job in own}.values())
-        for job in self.jobs.values():
-            if (
-                job.withdrawn
-                or self.needs_relayout(job)
-                or not any(rules.may_stop(spec, job.spec) for spec in kinds)
-            ):
-                continue
-            for task, bound in job.bound():
-                if (
-                    not bound.stop
-                    and (job.id, task, bound.attempt) not in self.asked
-                    and not self.late_start(job, bound, now)
-                ):
-                    rows.setdefault(bound.machine, []).append((job, task, bound))
-        for there in rows.values():
-            there.sort(key=lambda row: placement.preempt.turn_to_go(row, fresh(row)))
-        most = 16  # each costs a look at all machines; the next round comes soon
-        for job in own:
-            for _ in range(min(job.waiting_count(), 64)):
-                if not room.more_within_limit(job.spec):
-                    victims = placement.preempt.for_limit(job.spec, rows, room, teams, fresh)
-                    if not victims or not placement.preempt.finds_place(job, victims, turn):
-                        break
-                elif turn.fill(job, 1):
-                    continue
-                else:
-                    victims = placement.preempt.for_room(job, rows, turn, teams, fresh)
-                    if not victims:
-                        break
-                for row in victims:
-                    rows[row[2].machine].remove(row)
-                    turn.give(row[0].spec, row[2].machine)
-                    self.ask_stop(now, row, f"room for {job.id}")
-                turn.fill(job, 1)
-                most -= 1
-                if most <= 0:
-                    return
-
-    def ask_stop(self, now, row, reason):
-        job, task, bound = row
-        if self.mine(job):
-            self.stop(job, task, SAVE, reason)
-        else:
-            self.asked[(job.id, task, bound.attempt)] = now
-            self.agents.tell("ask_stop", job.id, task, bound.attempt, SAVE, reason)
-
     def on_thin_machine(self, type_name, most, reply):
         """`reply(machine, count)`: one that only holds up to `most` replicas, all of which would
         find room with their image on other machines in use; `reply(None, 0)` if there is none.
@@ -301,14 +182,14 @@
             if machine.open and name not in self.taints and replicas.get(name)
         }
         for count, name in sorted(rows)[:8]:
-            turn = placement.Round(self.room, usable - {name}, self.images)
+            placing_round = placement.Round(self.room, usable - {name}, self.images)
             fits = True
             for job, _ in self.room.on[name].values():
-                found = turn.fill(job, 1)
+                found = placing_round.fill(job, 1)
                 if not found or not self.images.has(found[0], job.spec.image):
                     fits = False
                     break
-            turn.undo()
+            placing_round.undo()
             if fits:
                 reply(name, count)
                 return
--- a/emberglade/placement/preempt.py
+++ b/emberglade/placement/preempt.py
@@ -105,13 +105,13 @@
     return victims
 
 
-def finds_place(job, victims, turn):
+def finds_place(job, victims, placing_round):
     """Whether a machine has room for one task once the victims are gone.
 
     Once broken: others of the team were stopped for a task that no machine could take, were placed
     again, and stopped again (meetings/preempts_in_vain.txt).
     """
-    spec, room = job.spec, turn.room
+    spec, room = job.spec, placing_round.room
     zones, known = room.zones_of(job)
     if not known and (spec.one_zone or spec.scatter):
         return False
@@ -130,9 +130,9 @@
                 )
             ],
         )
-        and turn.allowed(spec, name)
+        and placing_round.allowed(spec, name)
         and in_zone(spec, zones, room.machines[name].zone)
-        for name in turn.usable
+        for name in placing_round.usable
     )
 
 
@@ -144,15 +144,15 @@
     )
 
 
-def for_room(job, rows, turn, teams, fresh):
+def for_room(job, rows, placing_round, teams, fresh):
     """The cheapest victims on one machine whose end makes room for one task, or None."""
-    spec, room = job.spec, turn.room
+    spec, room = job.spec, placing_round.room
     zones, known = room.zones_of(job)
     if not known and (spec.one_zone or spec.scatter):
         return None
     best, stoppable = None, {}
     for name, there in rows.items():
-        if name not in turn.usable or not turn.allowed(spec, name):
+        if name not in placing_round.usable or not placing_round.allowed(spec, name):
             continue
         if not in_zone(spec, zones, room.machines[name].zone):
             continue
@@ -175,7 +175,7 @@
         if not victims or not room.fits(spec, free):
             continue
         score = (
-            spec.image_gb > 0 and not turn.images.has(name, spec.image),
+            spec.image_gb > 0 and not placing_round.images.has(name, spec.image),
             cost(victims[-1][0].spec, fresh(victims[-1])),
             len(victims),
             name,
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -4,7 +4,7 @@
 
 from .types import SLACK, MachineType
 
-LEAST_OF_ESTIMATE = 0.6  # estimates are often wrong by half
+MIN_ESTIMATE_SHARE = 0.6  # estimates are often wrong by half
 
 
 @dataclass(frozen=True)
@@ -36,7 +36,7 @@
             default=None,
         )
     due = spec.submitted + within if within is not None else float("inf")
-    late = due - wall < spec.estimate_s * LEAST_OF_ESTIMATE
+    late = due - wall < spec.estimate_s * MIN_ESTIMATE_SHARE
     return spec.rank, late, due, spec.submitted, spec.id
 
 
@@ -190,6 +190,22 @@
             return 0
         return self.room.more_within_limit(spec)
 
+    def fitting(self, spec):
+        """The machines on which one more task like this fits now, zones apart.
+
+        `Room.fits` in place: looking over all machines is most of what a round costs.
+        """
+        cpus, gpus, ram = spec.cpus - SLACK, spec.gpus - SLACK, spec.ram - SLACK
+        free = self.room.free
+        return [
+            name
+            for name in self.roomy
+            if (left := free[name])[0] >= cpus
+            and left[2] >= ram
+            and left[1] >= gpus
+            and self.allowed(spec, name)
+        ]
+
     def fill(self, job, count):
         """Takes room for up to `count` tasks and returns the machines, one a task."""
         spec, room = job.spec, self.room
@@ -202,9 +218,7 @@
             return []
         free, fits = room.free, room.fits
         found = []
-        fitting = [
-            name for name in self.roomy if fits(spec, free[name]) and self.allowed(spec, name)
-        ]
+        fitting = self.fitting(spec)
         most = (spec.tasks + 1) // 2
         ordered = [name for _, name in sorted((self.score(spec, name), name) for name in fitting)]
         # A service's replicas go to a machine each where they can: what a machine's loss costs is
--- a/emberglade/state/store.py
+++ b/emberglade/state/store.py
@@ -24,9 +24,9 @@
 class Store(Actor):
     """The only way to the state service: paces requests and keeps the copy in step."""
 
-    def __init__(self, settings, link):
+    def __init__(self, settings, client):
         self.settings = settings
-        self.link = link
+        self.client = client
         self.copy = {}  # key without LIVE -> (data, stamp)
         self.revision = -1  # -1: not read yet
         self.contact = float("-inf")  # when the last sync that was answered was sent
@@ -51,7 +51,7 @@
         # While nobody asks, others' changes are looked for less often: most of a quiet day is this.
         self.idle_gap = max(3 * self.sync_gap, settings.report_s / 8)
         # Requests that nobody answered may still hold a thread; bounded in time.
-        self.patience = min(settings.lease_s / 4, 3.0)
+        self.request_timeout = min(settings.lease_s / 4, 3.0)
         self.flight_cap = 6
         # What a peer that the state service refuses may still learn here. It asks every second or
         # so, and a lease's worth of changes at the full rate is far more than come in between.
@@ -286,8 +286,8 @@
         submissions = self.queue[SUBMISSIONS]
         if (
             submissions
-            and now - submissions[0][0] > self.patience / 4
-            and now - self.submission_favoured > self.patience / 8
+            and now - submissions[0][0] > self.request_timeout / 4
+            and now - self.submission_favoured > self.request_timeout / 8
         ):
             yield submissions, 1
         for line in self.queue:
@@ -299,7 +299,7 @@
             while line and most > 0 and self.flying < self.flight_cap:
                 most -= 1
                 asked, writes, method, path, body, reply = line[0]
-                if now - asked > self.patience:
+                if now - asked > self.request_timeout:
                     line.popleft()
                     reply(429, None)
                     continue
@@ -314,8 +314,12 @@
                 self.requests.take(now, 1)
                 self.writes.take(now, writes)
                 self.flying += 1
-                self.link.call(
-                    method, path, body, self.patience, self.then_hand("answered", writes, reply)
+                self.client.call(
+                    method,
+                    path,
+                    body,
+                    self.request_timeout,
+                    self.then_inline("answered", writes, reply),
                 )
 
     def on_answered(self, writes, reply, status, body):
--- a/emberglade/transport/client.py
+++ b/emberglade/transport/client.py
@@ -7,6 +7,8 @@
 import queue
 import socket
 import threading
+from collections.abc import Callable
+from typing import Any, BinaryIO, NamedTuple
 
 import orjson
 
@@ -14,22 +16,32 @@
 
 NO_ANSWER = 0  # status given to the caller when no answer came
 
+Reply = Callable[[int, Any], None]  # reply(status, decoded body)
 
-def parse_address(text):
+
+def parse_address(text: str) -> tuple[str, int]:
     """(host, port) of a text like 10.0.0.1:8080."""
     host, _, port = text.rpartition(":")
     return host, int(port)
 
 
+class ResponseHeaders(NamedTuple):
+    """What a response's headers say of its body and of the connection."""
+
+    content_length: int
+    close: bool
+    chunked: bool
+
+
 class Connection:
     """One kept-alive client connection."""
 
-    def __init__(self, address):
+    def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
-        self.sock = None
-        self.reader = None
+        self.sock: socket.socket | None = None
+        self.reader: BinaryIO | None = None
 
-    def close(self):
+    def close(self) -> None:
         for part in (self.reader, self.sock):
             if part is not None:
                 try:
@@ -38,68 +50,80 @@
                     log.debug("closing a connection to %s failed; it is dropped", self.address)
         self.sock = self.reader = None
 
-    def request(self, method, path, body, timeout):
+    def request(self, method: str, path: str, body: Any, timeout: float) -> tuple[int, Any]:
         """Returns (status, decoded body or None); raises OSError or ValueError."""
         payload = b"" if body is None else orjson.dumps(body)
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n"
             f"Content-Type: application/json\r\nContent-Length: {len(payload)}\r\n\r\n"
         )
-        fresh = self.sock is None
-        if fresh:
-            self.sock = socket.create_connection(self.address, timeout)
-            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.reader = self.sock.makefile("rb")
+        sock, reader = self._open(timeout)
         try:
-            self.sock.settimeout(timeout)
-            self.sock.sendall(head.encode() + payload)
-            return self._read_response()
+            sock.settimeout(timeout)
+            sock.sendall(head.encode() + payload)
+            return self._read_response(reader)
         except (OSError, ValueError):
             self.close()
             raise
 
-    def _read_response(self):
-        line = self.reader.readline(1024)
+    def _open(self, timeout: float) -> tuple[socket.socket, BinaryIO]:
+        """The open socket and its reader; connects first if there are none."""
+        if self.sock is None or self.reader is None:
+            self.sock = socket.create_connection(self.address, timeout)
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.reader = self.sock.makefile("rb")
+        return self.sock, self.reader
+
+    def _read_response(self, reader: BinaryIO) -> tuple[int, Any]:
+        line = reader.readline(1024)
         if not line:
             raise OSError("closed by the other side")
         status = int(line.split(None, 2)[1])
-        length, close, chunked = 0, False, False
+        headers = self._read_headers(reader)
+        if headers.chunked:
+            data = self._read_chunks(reader)
+        else:
+            data = reader.read(headers.content_length)
+            if len(data) < headers.content_length:
+                raise OSError("closed within the body")
+        if headers.close:
+            self.close()
+        try:
+            decoded = orjson.loads(data) if data else None
+        except ValueError:
+            # An HTML error page or the like: the status still counts, the body does not.
+            decoded = None
+        return status, decoded
+
+    @staticmethod
+    def _read_headers(reader: BinaryIO) -> "ResponseHeaders":
+        content_length, close, chunked = 0, False, False
         while True:
-            line = self.reader.readline(8192)
+            line = reader.readline(8192)
             if line in (b"\r\n", b"\n"):
-                break
+                return ResponseHeaders(content_length, close, chunked)
             if not line:
                 raise OSError("closed within the headers")
             name, _, value = line.partition(b":")
             name, value = name.lower(), value.strip()
             if name == b"content-length":
-                length = int(value)
+                content_length = int(value)
             elif name == b"connection":
                 close = value.lower() == b"close"
             elif name == b"transfer-encoding":
                 chunked = b"chunked" in value.lower()
-        data = self._read_chunks() if chunked else self.reader.read(length)
-        if not chunked and len(data) < length:
-            raise OSError("closed within the body")
-        if close:
-            self.close()
-        try:
-            decoded = orjson.loads(data) if data else None
-        except ValueError:
-            # An HTML error page or the like: the status still counts, the body does not.
-            decoded = None
-        return status, decoded
 
-    def _read_chunks(self):
-        parts = []
+    @staticmethod
+    def _read_chunks(reader: BinaryIO) -> bytes:
+        parts: list[bytes] = []
         while True:
-            size = int(self.reader.readline(64).split(b";")[0], 16)
+            size = int(reader.readline(64).split(b";")[0], 16)
             if size == 0:
-                while self.reader.readline(8192) not in (b"\r\n", b"\n", b""):
+                while reader.readline(8192) not in (b"\r\n", b"\n", b""):
                     continue
                 return b"".join(parts)
-            parts.append(self.reader.read(size))
-            self.reader.readline(8)
+            parts.append(reader.read(size))
+            reader.readline(8)
 
 
 class Client:
@@ -109,20 +133,23 @@
     NO_ANSWER when the outcome is not known.
     """
 
-    def __init__(self, address, threads, name, backlog=256):
+    def __init__(
+        self, address: tuple[str, int], threads: int, name: str, backlog: int = 256
+    ) -> None:
         self.address = address
-        self.jobs = queue.SimpleQueue()
+        # (method, path, body, timeout, reply)
+        self.jobs: queue.SimpleQueue[tuple[str, str, Any, float, Reply]] = queue.SimpleQueue()
         self.backlog = backlog
         for number in range(threads):
             threading.Thread(target=self._run, name=f"{name}-{number}", daemon=True).start()
 
-    def call(self, method, path, body, timeout, reply):
+    def call(self, method: str, path: str, body: Any, timeout: float, reply: Reply) -> None:
         if self.jobs.qsize() > self.backlog:
             reply(NO_ANSWER, None)
             return
         self.jobs.put((method, path, body, timeout, reply))
 
-    def _run(self):
+    def _run(self) -> None:
         connection = Connection(self.address)
         while True:
             method, path, body, timeout, reply = self.jobs.get()
@@ -142,36 +169,41 @@
     together while the others' calls go on.
     """
 
-    def __init__(self, threads, connections, name):
-        self.jobs = queue.SimpleQueue()
-        self.threads, self.most = threads, connections
-        self.idle = {}  # address -> Connection; the one used longest ago gives way
+    def __init__(self, threads: int, connections: int, name: str) -> None:
+        # (address, method, path, body, timeout, reply)
+        self.jobs: queue.SimpleQueue[tuple[str, str, str, Any, float, Reply]] = queue.SimpleQueue()
+        self.threads, self.max_idle = threads, connections
+        self.idle: dict[
+            str, Connection
+        ] = {}  # address -> Connection; the one used longest ago gives way
         self.lock = threading.Lock()
         for number in range(threads):
             threading.Thread(target=self._run, name=f"{name}-{number}", daemon=True).start()
 
-    def call(self, address, method, path, body, timeout, reply):
+    def call(
+        self, address: str, method: str, path: str, body: Any, timeout: float, reply: Reply
+    ) -> None:
         if self.jobs.qsize() > 4 * self.threads:
             reply(NO_ANSWER, None)
             return
         self.jobs.put((address, method, path, body, timeout, reply))
 
-    def _take(self, address):
+    def _take(self, address: str) -> Connection:
         with self.lock:
             return self.idle.pop(address, None) or Connection(parse_address(address))
 
-    def _keep(self, address, connection):
+    def _keep(self, address: str, connection: Connection) -> None:
         with self.lock:
             spare = [self.idle.pop(address, None)]
             if connection.sock is not None:
                 self.idle[address] = connection
-            if len(self.idle) > self.most:
+            if len(self.idle) > self.max_idle:
                 spare.append(self.idle.pop(next(iter(self.idle))))
         for old in spare:
             if old is not None:
                 old.close()
 
-    def _run(self):
+    def _run(self) -> None:
         while True:
             address, method, path, body, timeout, reply = self.jobs.get()
             connection = self._take(address)
--- a/emberglade/transport/messages.py
+++ b/emberglade/transport/messages.py
@@ -1,7 +1,7 @@
 """Requests and responses of the server as bytes: an incremental parser and an encoder."""
 
 from http import HTTPStatus
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import orjson
 
@@ -38,7 +38,7 @@
     keep_alive: bool
 
 
-def take_request(received):
+def take_request(received: bytes) -> tuple[Request, bytes] | None:
     """(Request, bytes that follow it), or None while the request is incomplete."""
     head_length = received.find(HEAD_END)
     if head_length < 0:
@@ -54,7 +54,7 @@
     return request, received[end:]
 
 
-def parse_head(data):
+def parse_head(data: bytes) -> Head:
     """The Head in the bytes up to the empty line."""
     lines = data.split(b"\r\n")
     words = lines[0].decode("latin-1").split()
@@ -78,7 +78,7 @@
     return Head(method, path, content_length, keep_alive)
 
 
-def parse_content_length(value):
+def parse_content_length(value: bytes) -> int:
     """The length that a header names; MalformedRequest unless it is one that is allowed."""
     value = value.strip()
     if not value.isdigit() or int(value) > MAX_BODY_BYTES:
@@ -86,7 +86,7 @@
     return int(value)
 
 
-def encode_response(status, data, retry_after, close):
+def encode_response(status: int, data: Any, retry_after: int | None, close: bool) -> bytes:
     """The bytes of a response; `data` is encoded as JSON unless it is None."""
     payload = b"" if data is None else orjson.dumps(data)
     retry = f"Retry-After: {retry_after}\r\n" if retry_after is not None else ""
--- a/emberglade/transport/server.py
+++ b/emberglade/transport/server.py
@@ -13,13 +13,18 @@
 import threading
 import time
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import islice
+from typing import Any
 
 from .messages import MAX_REQUEST_BYTES, MalformedRequest, encode_response, take_request
 
 log = logging.getLogger("emberglade.transport")
 
+# route(method, path, body, reply): leads to one `reply(status, data, retry_after)`
+Route = Callable[[str, str, bytes, Callable[..., None]], None]
+
 RECEIVE_BYTES = 64 * 1024
 ACCEPTS_AT_ONCE = 64  # new connections taken before the others have their turn again
 EVICTION_CANDIDATES = 16  # of the connections idle for longest, those that are looked at
@@ -54,11 +59,11 @@
         "lock",
     )
 
-    def __init__(self, sock, now):
+    def __init__(self, sock: socket.socket, now: float) -> None:
         self.sock = sock
         self.received = b""  # what came after the last complete request
         self.unsent = b""  # the rest of an answer for which the socket had no room
-        self.exchange = None  # the request that waits for its answer
+        self.exchange: Exchange | None = None  # the request that waits for its answer
         self.active_at = now  # when it was opened, or the last complete request came
         self.served = False  # whether a request was routed
         self.is_user = False
@@ -67,10 +72,10 @@
         self.lock = threading.Lock()
 
     @property
-    def idle(self):
+    def idle(self) -> bool:
         return self.exchange is None and not self.unsent
 
-    def may_give_way(self, now):
+    def may_give_way(self, now: float) -> bool:
         """Whether nothing is asked on it, nor about to be."""
         return self.idle and (self.served or now - self.active_at > FIRST_REQUEST_S)
 
@@ -80,15 +85,17 @@
 
     __slots__ = ("server", "connection", "keep_alive", "deadline")
 
-    def __init__(self, server, connection, keep_alive, deadline):
+    def __init__(
+        self, server: "Server", connection: ServerConnection, keep_alive: bool, deadline: float
+    ) -> None:
         self.server, self.connection = server, connection
         self.keep_alive, self.deadline = keep_alive, deadline
 
     @property
-    def answered(self):
+    def answered(self) -> bool:
         return self.connection.exchange is not self
 
-    def reply(self, status, data=None, retry_after=None):
+    def reply(self, status: int, data: Any = None, retry_after: int | None = None) -> None:
         """Sends the answer, unless there was one already or the connection is gone."""
         self.server.send_answer(self, status, data, retry_after)
 
@@ -105,11 +112,17 @@
 
     allow_reuse_address = True
 
-    def __init__(self, address, route, limits, is_user_path=lambda path: False):
+    def __init__(
+        self,
+        address: tuple[str, int],
+        route: Route,
+        limits: ServerLimits,
+        is_user_path: Callable[[str], bool] = lambda path: False,
+    ) -> None:
         self.route, self.limits, self.is_user_path = route, limits, is_user_path
         # After the end of another controller all its workers come at once.
         self.request_queue_size = max(16, limits.max_connections // 2)
-        super().__init__(address, None)
+        super().__init__(address, socketserver.BaseRequestHandler)
         self.server_port = self.server_address[1]
         self.socket.setblocking(False)
         self.selector = selectors.DefaultSelector()
@@ -117,30 +130,33 @@
         self.wake_reader, self.wake_writer = os.pipe()
         os.set_blocking(self.wake_reader, False)
         self.selector.register(self.wake_reader, selectors.EVENT_READ, self.wake_reader)
-        self.users = OrderedDict()  # ServerConnection -> None, the one idle for longest first
-        self.others = OrderedDict()
-        self.waiting = deque()  # exchanges not answered at once, the oldest first
-        self.attention = deque()  # connections with something to send, to read or to close
-        self.accept_again_at = None  # while no connections are accepted
-        self.thread_id = None
+        # The one idle for longest comes first.
+        self.users: OrderedDict[ServerConnection, None] = OrderedDict()
+        self.others: OrderedDict[ServerConnection, None] = OrderedDict()
+        self.waiting: deque[Exchange] = deque()  # exchanges not answered at once, the oldest first
+        self.attention: deque[ServerConnection] = (
+            deque()
+        )  # connections with something to send, to read or to close
+        self.accept_again_at: float | None = None  # while no connections are accepted
+        self.thread_id: int | None = None
         self.stopping = False
         self.evicted = self.refused = 0
 
     @property
-    def connection_count(self):
+    def connection_count(self) -> int:
         return len(self.users) + len(self.others)
 
     @property
-    def crowded(self):
+    def crowded(self) -> bool:
         return self.connection_count > CROWDED_SHARE * self.limits.max_connections
 
     # --- the server's thread
 
-    def begin(self, name):
+    def begin(self, name: str) -> None:
         """Serves on a thread of its own."""
         threading.Thread(target=self.serve_forever, name=name, daemon=True).start()
 
-    def serve_forever(self, poll_interval=None):
+    def serve_forever(self, poll_interval: float = 0.0) -> None:
         """Serves until `shutdown`, on the caller's thread."""
         self.thread_id = threading.get_ident()
         sweep_s = self.limits.idle_timeout_s / 8
@@ -157,7 +173,7 @@
                 next_sweep = now + sweep_s
                 self._close_idle(now)
 
-    def _time_to_wait(self, next_sweep):
+    def _time_to_wait(self, next_sweep: float) -> float:
         due = next_sweep
         if self.waiting:
             due = min(due, self.waiting[0].deadline)
@@ -165,7 +181,7 @@
             due = min(due, self.accept_again_at)
         return max(0.0, due - time.monotonic())
 
-    def _attend_event(self, key, events):
+    def _attend_event(self, key: selectors.SelectorKey, events: int) -> None:
         if key.data is None:
             try:
                 self._accept()
@@ -180,7 +196,9 @@
             if events & selectors.EVENT_READ:
                 self._guarded(self._receive, key.data)
 
-    def _guarded(self, action, connection):
+    def _guarded(
+        self, action: Callable[[ServerConnection], None], connection: ServerConnection
+    ) -> None:
         """One connection's failure must not end the others'."""
         try:
             action(connection)
@@ -188,16 +206,16 @@
             log.exception("a request failed; its connection is closed")
             self._close(connection)
 
-    def _wake(self):
+    def _wake(self) -> None:
         if threading.get_ident() != self.thread_id:
             os.write(self.wake_writer, b"w")
 
-    def shutdown(self):
+    def shutdown(self) -> None:
         """Ends `serve_forever`; the sockets stay open until `server_close`."""
         self.stopping = True
         self._wake()
 
-    def server_close(self):
+    def server_close(self) -> None:
         """Closes the listening socket and all connections."""
         for connection in [*self.users, *self.others]:
             self._close(connection)
@@ -205,7 +223,7 @@
 
     # --- opening and closing
 
-    def _accept(self):
+    def _accept(self) -> None:
         now = time.monotonic()
         for _ in range(ACCEPTS_AT_ONCE):
             full = self.connection_count >= self.limits.max_connections
@@ -231,16 +249,17 @@
             self.others[connection] = None
             self.selector.register(sock, selectors.EVENT_READ, connection)
 
-    def _pause_accepting(self, now):
+    def _pause_accepting(self, now: float) -> None:
+        if self.accept_again_at is None:
+            self.selector.unregister(self.socket)
         self.accept_again_at = now + ACCEPT_PAUSE_S
-        self.selector.unregister(self.socket)
 
-    def _resume_accepting(self):
+    def _resume_accepting(self) -> None:
         if self.accept_again_at is not None and time.monotonic() >= self.accept_again_at:
             self.accept_again_at = None
             self.selector.register(self.socket, selectors.EVENT_READ, None)
 
-    def _idle_longest(self, now):
+    def _idle_longest(self, now: float) -> ServerConnection | None:
         """The connection that is to give way: of those idle for longest, users' first, or None."""
         for connections in (self.users, self.others):
             for connection in islice(connections, EVICTION_CANDIDATES):
@@ -248,13 +267,13 @@
                     return connection
         return None
 
-    def _has_idle(self, now):
+    def _has_idle(self, now: float) -> bool:
         return self._idle_longest(now) is not None
 
-    def _has_newcomer(self):
+    def _has_newcomer(self) -> bool:
         return any(not c.served and c.exchange is None for c in reversed(self.others))
 
-    def _evict_idle(self, now):
+    def _evict_idle(self, now: float) -> bool:
         """Closes the connection that has been idle for longest; False if none is."""
         connection = self._idle_longest(now)
         if connection is None:
@@ -263,7 +282,7 @@
         self._close(connection)
         return True
 
-    def _close(self, connection):
+    def _close(self, connection: ServerConnection) -> None:
         with connection.lock:
             if connection.sock.fileno() < 0:
                 return
@@ -272,7 +291,7 @@
             connection.sock.close()
         (self.users if connection.is_user else self.others).pop(connection, None)
 
-    def _close_idle(self, now):
+    def _close_idle(self, now: float) -> None:
         """Closes what has sent no complete request for long, also if a part of one trickles in, and
         what doesn't take its answer.
         """
@@ -285,7 +304,7 @@
 
     # --- requests
 
-    def _receive(self, connection):
+    def _receive(self, connection: ServerConnection) -> None:
         try:
             data = connection.sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
         except BlockingIOError:
@@ -301,7 +320,7 @@
             return
         self._serve_received(connection)
 
-    def _serve_received(self, connection):
+    def _serve_received(self, connection: ServerConnection) -> None:
         """Routes the next request, if it is complete and the one before is answered."""
         if not connection.idle or connection.closing:
             return
@@ -329,12 +348,14 @@
         if not exchange.answered:
             self.waiting.append(exchange)
 
-    def _open_exchange(self, connection, keep_alive, now):
+    def _open_exchange(
+        self, connection: ServerConnection, keep_alive: bool, now: float
+    ) -> Exchange:
         exchange = Exchange(self, connection, keep_alive, now + self.limits.answer_timeout_s)
         connection.exchange = exchange
         return exchange
 
-    def _admit(self, connection, path):
+    def _admit(self, connection: ServerConnection, path: str) -> bool:
         """Notes that the connection is in use; False if it is one user's too many."""
         if connection.is_user:
             self.users.move_to_end(connection)
@@ -348,7 +369,7 @@
             self.users[connection] = None
         return True
 
-    def _expire_exchanges(self, now):
+    def _expire_exchanges(self, now: float) -> None:
         while self.waiting and (self.waiting[0].answered or self.waiting[0].deadline <= now):
             self.waiting.popleft().reply(
                 503, {"error": "no decision in time; ask again"}, OVERLOAD_RETRY_S
@@ -356,7 +377,9 @@
 
     # --- answers
 
-    def send_answer(self, exchange, status, data, retry_after):
+    def send_answer(
+        self, exchange: Exchange, status: int, data: Any, retry_after: int | None
+    ) -> None:
         """Sends what the socket takes at once; the server's thread does the rest."""
         connection = exchange.connection
         response = encode_response(status, data, retry_after, not exchange.keep_alive)
@@ -377,7 +400,7 @@
             self.attention.append(connection)
             self._wake()
 
-    def _attend(self, connection):
+    def _attend(self, connection: ServerConnection) -> None:
         """What is left after an answer: its rest, the end of the connection, the next request."""
         if connection.sock.fileno() < 0:
             return
@@ -390,7 +413,7 @@
         elif connection.received:
             self._serve_received(connection)
 
-    def _send_rest(self, connection):
+    def _send_rest(self, connection: ServerConnection) -> None:
         with connection.lock:
             try:
                 sent = connection.sock.send(connection.unsent, socket.MSG_DONTWAIT)
--- a/tests/scenario_kinds/actors.py
+++ b/tests/scenario_kinds/actors.py
@@ -65,4 +65,4 @@
 
     def send(self, count):
         for number in range(count):
-            (self.counter.tell if number % 3 == 0 else self.counter.hand)("add")
+            (self.counter.tell if number % 3 == 0 else self.counter.tell_inline)("add")
--- a/tests/stand_ins/cluster.py
+++ b/tests/stand_ins/cluster.py
@@ -8,7 +8,7 @@
 from .observer import Observer
 from .production import as_production
 from .state import StateService
-from .world import SimLink, SimPool, SimSystem, World
+from .world import SimClient, SimClientPool, SimSystem, World
 
 LIMITS = {
     "nodes": 3,
@@ -155,10 +155,10 @@
         node = assemble(
             self.settings(name),
             Operators(),
-            SimLink(process, "state"),
-            SimLink(process, "cloud"),
-            {n: SimLink(process, n) for n in self.names if n != name},
-            SimPool(process),
+            SimClient(process, "state"),
+            SimClient(process, "cloud"),
+            {n: SimClient(process, n) for n in self.names if n != name},
+            SimClientPool(process),
         )
         for actor, actor_name in as_production(node) if name in self.production else node.actors():
             process.spawn(actor, actor_name)
--- a/tests/stand_ins/world.py
+++ b/tests/stand_ins/world.py
@@ -114,7 +114,7 @@
         self.at(timeout, finish, NO_ANSWER, None)
 
 
-class SimLink:
+class SimClient:
     """What a controller uses instead of sockets; silent once its process has ended."""
 
     def __init__(self, process, target):
@@ -133,14 +133,14 @@
         )
 
 
-class SimPool:
+class SimClientPool:
     """The same for many addresses."""
 
     def __init__(self, process):
         self.process = process
 
     def call(self, address, method, path, body, timeout, reply):
-        SimLink(self.process, address.partition(":")[0]).call(method, path, body, timeout, reply)
+        SimClient(self.process, address.partition(":")[0]).call(method, path, body, timeout, reply)
 
 
 class SimSystem:
