--- /dev/null
+++ b/tests/benchmarks/server_cost.py
@@ -0,0 +1,106 @@
+"""What the server costs: processor time a request, and time, memory and threads a connection.
+
+    python tests/benchmarks/server_cost.py [CONNECTIONS [ROUNDS]]
+
+The server runs in a process of its own on loopback with a route that answers at once, so what is
+measured is the transport alone. Times move with the machine: compare interleaved runs only.
+"""
+
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+from typing import NamedTuple
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, ROOT)
+
+from emberglade.accounting import resident_bytes  # noqa: E402
+from emberglade.transport import Server, ServerLimits  # noqa: E402
+
+BODY = (
+    b'{"hearth":"vm-000231","addr":"10.1.0.232:9000","hearth_kind":"g8","glade":"a",'
+    b'"driftwood":true,"kindling_span":1,"tally":88,"torch":41,"reclaim_s":null,"embers":[]}'
+)
+REQUEST = b"POST /agent/beat HTTP/1.1\r\nContent-Length: %d\r\n\r\n%b" % (len(BODY), BODY)
+SERVE = "serve"
+
+
+class Usage(NamedTuple):
+    """What the server's process has used and holds."""
+
+    processor_s: float
+    memory_bytes: int
+    threads: int
+
+
+def serve():
+    """The server's process: prints its port, then a Usage for each line of input."""
+    server = Server(
+        ("127.0.0.1", 0),
+        lambda method, path, body, reply: reply(200, {}),
+        ServerLimits(
+            max_connections=100_000,
+            max_user_connections=1,
+            answer_timeout_s=3.0,
+            idle_timeout_s=60.0,
+        ),
+    )
+    server.begin("server")
+    print(server.server_port, flush=True)
+    for _ in sys.stdin:
+        print(time.process_time(), resident_bytes(), threading.active_count(), flush=True)
+
+
+def ask_usage(process):
+    """The Usage of the server's process now."""
+    process.stdin.write("\n")
+    process.stdin.flush()
+    processor_s, memory_bytes, threads = process.stdout.readline().split()
+    return Usage(float(processor_s), int(memory_bytes), int(threads))
+
+
+def request(connection):
+    """One request and its answer."""
+    connection.sendall(REQUEST)
+    connection.recv(4096)
+
+
+def measure(count, rounds):
+    """Prints what so many connections and requests cost."""
+    with subprocess.Popen(
+        [sys.executable, os.path.abspath(__file__), SERVE],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as process:
+        port = int(process.stdout.readline())
+        before = ask_usage(process)
+        connections = []
+        for _ in range(count):
+            connections.append(socket.create_connection(("127.0.0.1", port), 10.0))
+            request(connections[-1])
+        opened = ask_usage(process)
+        for _ in range(rounds):
+            for connection in connections:
+                request(connection)
+        after = ask_usage(process)
+        for connection in connections:
+            connection.close()
+        process.stdin.close()
+    per_connection = (opened.processor_s - before.processor_s) / count
+    per_request = (after.processor_s - opened.processor_s) / (count * rounds)
+    print(
+        f"{1e6 * per_request:.0f} microseconds a request; {1e6 * per_connection:.0f} microseconds "
+        f"and {(after.memory_bytes - before.memory_bytes) / count:.0f} bytes a connection; "
+        f"{after.threads} threads"
+    )
+
+
+if __name__ == "__main__":
+    if sys.argv[1:2] == [SERVE]:
+        serve()
+    else:
+        measure(*[int(word) for word in sys.argv[1:]] or [400, 15])
