Reverted: workers' connections that are about to be used keep their place

It does not help: new connections wait in the listener's queue, which counts against the 1,200 sockets. What workers lose there they lose to the 4 s for each controller that is cut off (by arithmetic, not traced).

--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -141,7 +141,6 @@
             max_user_connections=descriptors.users,
             answer_timeout_s=answer_timeout_s + 0.5,
             idle_timeout_s=idle_timeout_s,
-            eviction_idle_s=2 * settings.report_s,
         ),
         is_user_path,
     )
--- a/emberglade/transport/server.py
+++ b/emberglade/transport/server.py
@@ -30,7 +30,7 @@
 EVICTION_CANDIDATES = 16  # of the connections idle for longest, those that are looked at
 OVERLOAD_RETRY_S = 1
 FIRST_REQUEST_S = 1.0  # a new connection is not taken for an idle one for so long
-ACCEPT_PAUSE_S = 0.02  # while every place is taken, but not for long
+ACCEPT_PAUSE_S = 0.02  # while every place is taken by connections that have only just come
 CROWDED_SHARE = 7 / 8  # of the connections; above it each one is closed after its answer
 
 
@@ -42,8 +42,6 @@
     max_user_connections: int  # at most so many of them, once they have sent a user's request
     answer_timeout_s: float  # a request without a decision by then gets 503
     idle_timeout_s: float  # a connection without a request for so long is closed
-    # A worker's connection gives way to a new one only after so long without a request.
-    eviction_idle_s: float = 0.0
 
 
 class ServerConnection:
@@ -77,13 +75,9 @@
     def idle(self) -> bool:
         return self.exchange is None and not self.unsent
 
-    def may_give_way(self, now: float, eviction_idle_s: float) -> bool:
+    def may_give_way(self, now: float) -> bool:
         """Whether nothing is asked on it, nor about to be."""
-        if not self.idle:
-            return False
-        if not self.served:
-            return now - self.active_at > FIRST_REQUEST_S
-        return self.is_user or now - self.active_at >= eviction_idle_s
+        return self.idle and (self.served or now - self.active_at > FIRST_REQUEST_S)
 
 
 class Exchange:
@@ -111,10 +105,7 @@
     data, retry_after)`, from any thread and at any later time.
 
     At the bound on connections the one that has been idle for longest gives way, those of users
-    first. A worker's that is about to be used again does not: its worker would look for another
-    controller. New ones then wait for the moment that it takes until answers, each of which ends
-    its connection, have made room. If all wait for answers, a new one is closed at once.
-    Connections on which a path came that
+    first; if none is idle, the new one is closed at once. Connections on which a path came that
     `is_user_path` accepts are at most `max_user_connections`: past that they get 503 and are
     closed, so that users can't crowd out workers.
     """
@@ -236,8 +227,8 @@
         now = time.monotonic()
         for _ in range(ACCEPTS_AT_ONCE):
             full = self.connection_count >= self.limits.max_connections
-            if full and not self._has_idle(now) and self._has_place_soon():
-                # The new ones wait in the listener's queue meanwhile.
+            if full and not self._has_idle(now) and self._has_newcomer():
+                # These are read first; the others wait in the listener's queue meanwhile.
                 self._pause_accepting(now)
                 return
             try:
@@ -272,16 +263,15 @@
         """The connection that is to give way: of those idle for longest, users' first, or None."""
         for connections in (self.users, self.others):
             for connection in islice(connections, EVICTION_CANDIDATES):
-                if connection.may_give_way(now, self.limits.eviction_idle_s):
+                if connection.may_give_way(now):
                     return connection
         return None
 
     def _has_idle(self, now: float) -> bool:
         return self._idle_longest(now) is not None
 
-    def _has_place_soon(self) -> bool:
-        """Whether a request is about to come whose answer ends its connection."""
-        return any(connection.exchange is None for connection in reversed(self.others))
+    def _has_newcomer(self) -> bool:
+        return any(not c.served and c.exchange is None for c in reversed(self.others))
 
     def _evict_idle(self, now: float) -> bool:
         """Closes the connection that has been idle for longest; False if none is."""
