--- a/tests/scenario_kinds/calls.py
+++ b/tests/scenario_kinds/calls.py
@@ -9,7 +9,7 @@
 
 
 class CallsScenario:
-    """`pool THREADS`; `hang COUNT TIMEOUT` calls workers that never answer, `call` one that does."""
+    """`pool THREADS`; `hang COUNT TIMEOUT` calls silent workers, `call` one that answers."""
 
     def __init__(self, patch, tmp_path):
         self.pool, self.silent, self.answers = None, [], queue.SimpleQueue()
