Failure detection among controllers: suspicion, confirmation, takeover

Need: a controller whose renewals came late was replaced however well its peers heard it, and a killed one only when its lease ended. Change: emberglade/failure_detection: heartbeats ride on the exchange of statements; a pure state machine suspects (phi accrual within bounds), asks others, doubts itself first; claims of shards and the lead follow its view. agents/failure_detector.py is now agents/lease_evidence.py: proof of leases does not read suspicions. Found while testing: a controller back in contact after long took all shards from a view older than its copy; one that was back had its shards taken again by a view a quarter of a second old (both mended, with scenarios).

--- a/emberglade/accounting.py
+++ b/emberglade/accounting.py
@@ -82,7 +82,7 @@
             "refused": sum(server.refused for server in self.servers),
             "live_keys": len(node.store.copy),
             "jobs": len(node.job_manager.jobs),
-            "machines": len(node.agents.detector.view),
+            "machines": len(node.agents.evidence.view),
             "reporting_here": len(node.agents.known),
             "final_states": len(node.api.final),
             "actors": {
--- a/emberglade/agents/bindings.py
+++ b/emberglade/agents/bindings.py
@@ -64,9 +64,9 @@
         for key, data, stamp in events:
             self.absorb(key, data, stamp, tables)
         self.revision = max(self.revision, revision)
-        self.detector.compare_copies(self.revision)
+        self.evidence.compare_copies(self.revision)
         if tables or whole:
-            self.detector.nodes(self.nodes, self.now())
+            self.evidence.nodes(self.nodes, self.now())
         for node in tables:
             self.read_table(node)
         fresh, self.fresh = self.fresh, []
--- a/emberglade/agents/commands.py
+++ b/emberglade/agents/commands.py
@@ -114,7 +114,7 @@
             )
         now = self.now()
         for (machine, session), commands in machines.items():
-            last_seen = self.detector.view.get(machine)
+            last_seen = self.evidence.view.get(machine)
             if last_seen is None:
                 continue
             row = last_seen.row
@@ -151,5 +151,5 @@
         # Direct commands renew no lease, and where the worker reports is not this node's to say.
         if known is not None and known.report.age < report.age:
             known.report, known.tasks, known.heard, known.quiet = report, tasks, self.now(), False
-            self.detector.view[report.machine] = self.last_seen(known)
+            self.evidence.view[report.machine] = self.last_seen(known)
         self.tell_holders(report, tasks)
--- a/emberglade/agents/exchange.py
+++ b/emberglade/agents/exchange.py
@@ -5,7 +5,7 @@
 from ..placement import Machine
 from ..state import wire as state_wire
 from . import wire
-from .failure_detector import FailureDetector, LastSeen
+from .lease_evidence import LastSeen, LeaseEvidence
 from .tables import TABLE_S
 
 log = logging.getLogger("emberglade.agents")
@@ -19,7 +19,7 @@
     inventory_due = False
 
     def __init__(self, settings):
-        self.detector = FailureDetector(settings)
+        self.evidence = LeaseEvidence(settings)
         self.asked_by = {}  # peer -> when it last asked here, and so could get an answer
         self.asked = {}  # peer -> when it was asked
         self.asked_whole = float("-inf")
@@ -33,7 +33,7 @@
         proof.
         """
         now = self.now()
-        often, interval = min(1.0, self.settings.report_s) / 4, max(1.0, self.settings.report_s / 2)
+        often, interval = min(1.0, self.settings.report_s) / 4, self.settings.exchange_s
         lost = [
             name for name, taint in self.taints.items() if taint == "lost" and name in self.bound
         ]
@@ -68,7 +68,7 @@
         self.write_facts()
         if self.needs_rows(self.now()) and not self.rows_in_table:
             self.ask_for_table()
-        if self.now() - self.inventory_told >= max(1.0, self.settings.report_s / 2):
+        if self.now() - self.inventory_told >= self.settings.exchange_s:
             self.tell_inventory()
 
     def last_seen(self, known):
@@ -96,7 +96,7 @@
         Workers go from node to node: without the latter half, each node would soon tell of them
         all.
         """
-        rows, view = {}, self.detector.view
+        rows, view = {}, self.evidence.view
         for name, known in (
             self.known.items()
             if only is None
@@ -150,12 +150,12 @@
 
     def on_peer_heard(self, name, asked, only, status, body):
         self.asked.pop(name, None)
-        if status == 200 and not self.detector.hear(name, asked, self.now(), body, only):
+        if status == 200 and not self.evidence.hear(name, asked, self.now(), body, only):
             log.info("%s made an odd statement; it is asked again", name)
         elif status == 200 and only is None:
-            self.detector.compare_copies(self.revision)
+            self.evidence.compare_copies(self.revision)
             if (
-                self.detector.told[name].copy_revision > self.revision >= 0
+                self.evidence.told[name].copy_revision > self.revision >= 0
                 and self.now() - self.contact > self.settings.report_s / 2
             ):
                 # The state service is out of reach here. What it committed may be had from this
@@ -210,13 +210,13 @@
         self.sent_home = {
             name: at for name, at in self.sent_home.items() if now - at < 4 * self.settings.lease_s
         }
-        self.detector.forget_old(now)
+        self.evidence.forget_old(now)
         fresh = 3 * self.settings.report_s + 1
-        if self.detector.missing_peers(now):
+        if self.evidence.missing_peers(now):
             # Their tables come less often than their answers would.
             fresh += TABLE_S
         inventory = {}
-        for name, last_seen in self.detector.view.items():
+        for name, last_seen in self.evidence.view.items():
             row = last_seen.row
             if row.type in self.types:
                 usable = now - last_seen.heard < fresh and not row.notice and not row.deaf
@@ -242,20 +242,20 @@
         result = {}
         # Tables are older than what a peer would answer; that is not the machines' silence. Nor is
         # it a sign of life.
-        slack = TABLE_S if self.detector.missing_peers(now) else 0.0
+        slack = TABLE_S if self.evidence.missing_peers(now) else 0.0
         for name in sorted(
             set(self.taints)
             if tainted
-            else set(self.detector.view) | set(self.bound) | set(self.taints)
+            else set(self.evidence.view) | set(self.bound) | set(self.taints)
         ):
             last_seen, known, taint = (
-                self.detector.view.get(name),
+                self.evidence.view.get(name),
                 self.known.get(name),
                 self.taints.of.get(name),
             )
             own = max(known.heard, known.answered) if known else self.born
             heard = last_seen.heard if last_seen is not None else self.born
-            proven = taint is not None and self.detector.proven_over(
+            proven = taint is not None and self.evidence.proven_over(
                 name, own, taint[1], taint[2], now
             )
             result[name] = (
--- a/emberglade/agents/failure_detector.py
+++ b/emberglade/agents/lease_evidence.py
@@ -48,8 +48,11 @@
         return self.got - (self.up_s if row is None else min(self.up_s, row.age_s))
 
 
-class FailureDetector:
-    """What this controller knows of all machines, from its own reports and from its peers."""
+class LeaseEvidence:
+    """What this controller knows of all machines, from its own reports and from its peers.
+
+    Suspicions of controllers (`emberglade/failure_detection`) are no evidence and are not read.
+    """
 
     def __init__(self, settings):
         self.settings = settings
--- a/emberglade/agents/manager.py
+++ b/emberglade/agents/manager.py
@@ -64,7 +64,7 @@
 
     def on_contact(self, when, revision):
         self.contact = max(self.contact, when)
-        self.detector.synced(when, revision)
+        self.evidence.synced(when, revision)
 
     # --- reports
 
@@ -79,7 +79,7 @@
         # Peers that lose contact themselves answer questions late by up to what a sync may take
         # (meetings/gap_silent.txt, 2).
         level_for = self.settings.lease_s / 4 + self.settings.report_s
-        if better is not None and now - self.detector.level_since() > level_for:
+        if better is not None and now - self.evidence.level_since() > level_for:
             reply(421, wire.elsewhere(better))
             return
         name = report.machine
@@ -93,7 +93,7 @@
         if home is not None:
             reply(421, wire.elsewhere(home))
             return
-        last_seen = self.detector.view.get(name)
+        last_seen = self.evidence.view.get(name)
         if (last_seen is not None and last_seen.age >= report.age) or taint == "gone":
             # A copy that came late, perhaps of a machine that was returned: no sign of life. The
             # lease that its answer could renew is one that the newer message renewed already.
@@ -106,7 +106,7 @@
         self.listen(known, report, last_seen, now)
         before, known.report = known.report, report
         known.heard = known.answered = now
-        self.detector.view[name] = self.last_seen(known)
+        self.evidence.view[name] = self.last_seen(known)
         if fresh:
             self.newcomers.append(name)
             self.soon_inventory()
--- a/emberglade/agents/routing.py
+++ b/emberglade/agents/routing.py
@@ -12,6 +12,7 @@
     def __init__(self):
         self.sent_home = {}  # machine -> when it was sent to a node in its own zone
         self.tried_home = {}  # node -> when a worker was last sent there
+        self.suspected = frozenset()  # controllers that no worker is sent to
 
     def entitled(self, now):
         """Whether no withdrawal that this copy lacks can have been told to its user longer than
@@ -24,14 +25,14 @@
         if self.revision < 0:
             return False
         blind_s = self.settings.blind_s
-        return now - self.contact <= blind_s or now - self.detector.level_since() <= blind_s
+        return now - self.contact <= blind_s or now - self.evidence.level_since() <= blind_s
 
     def better_node(self, now):
         """A node that can follow the state service while this one can't."""
         quarter = self.settings.lease_s / 4
         if now - self.contact < quarter:
             return None
-        for name, said in self.detector.told.items():
+        for name, said in self.evidence.told.items():
             if (
                 now - said.got < 2 * self.settings.report_s
                 and said.contact_s + now - said.got < quarter
@@ -56,10 +57,11 @@
             return None
         inside = []
         for peer in settings.peers:
-            said = self.detector.told.get(peer.name)
+            said = self.evidence.told.get(peer.name)
             if (
                 peer.zone == report.zone
                 and peer.name in self.nodes
+                and peer.name not in self.suspected
                 and said is not None
                 and now - said.got < 2 * settings.report_s
                 and said.contact_s + now - said.got < settings.lease_s / 4
@@ -69,7 +71,7 @@
                     or now - self.tried_home.get(peer.name, float("-inf")) > settings.lease_s / 4
                 )
                 # One node is not to hear them all, if most machines are in its zone.
-                and said.hearing <= 3 * len(self.detector.view) / settings.size
+                and said.hearing <= 3 * len(self.evidence.view) / settings.size
             ):
                 inside.append(peer.name)
         if not inside:
@@ -78,5 +80,9 @@
         self.sent_home[name] = self.tried_home[chosen] = now
         return chosen
 
+    def on_liveness(self, view):
+        """Who can be relied on has changed."""
+        self.suspected = view.suspected
+
     def on_ready(self, reply):
         reply(self.revision >= 0 and self.better_node(self.now()) is None)
--- a/emberglade/agents/tables.py
+++ b/emberglade/agents/tables.py
@@ -38,8 +38,8 @@
         lately = now - 2 * self.settings.report_s
         return any(
             self.asked_by.get(name, -1e9) < lately
-            or name not in self.detector.told
-            or self.detector.told[name].asked < lately
+            or name not in self.evidence.told
+            or self.evidence.told[name].asked < lately
             for name in self.peers
             if name in self.nodes
         )
@@ -132,6 +132,6 @@
                 "rev": table["rev"],
                 "known": rows,
             }
-            self.detector.read_table(node, self.now(), self.system.wall() - table["wall"], body)
+            self.evidence.read_table(node, self.now(), self.system.wall() - table["wall"], body)
         except (KeyError, TypeError, ValueError, IndexError) as error:
             log.info("the table of %s is odd (%s); the next one is awaited", node, error)
--- a/emberglade/agents/withdrawals.py
+++ b/emberglade/agents/withdrawals.py
@@ -78,6 +78,13 @@
         if entry is not None and not entry.withdrawn:
             self.see_withdrawal(job_id, entry, revision)
 
+    def on_peer_dead(self, name):
+        """Its halts may not have been sent: every survivor sends those that are due, at once."""
+        now = self.now()
+        for job_id, due in self.withdrawn.items():
+            self.withdrawn[job_id] = min(due, now)
+        self.press_due_halts()
+
     # --- direct halts
 
     def on_press_halts(self):
@@ -114,7 +121,7 @@
             if len(self.halting) >= self.most_halting:
                 self.held_back = True
                 return
-            last_seen = self.detector.view.get(machine)
+            last_seen = self.evidence.view.get(machine)
             last = self.halted.get(machine, (0, float("-inf")))
             if (
                 last_seen is None
--- a/emberglade/config/__init__.py
+++ b/emberglade/config/__init__.py
@@ -1,10 +1,11 @@
 """Settings: the platform's TOML and the operators' own file."""
 
-from .operators import Operators, load_operators
+from .operators import DomainNetwork, Operators, load_operators
 from .platform import Settings, SettingsError, load_platform
 from .quota import small_quota_warnings
 
 __all__ = [
+    "DomainNetwork",
     "Operators",
     "Settings",
     "SettingsError",
--- a/emberglade/config/operators.py
+++ b/emberglade/config/operators.py
@@ -10,6 +10,14 @@
 from .platform import SettingsError
 
 
+@dataclass(frozen=True, slots=True)
+class DomainNetwork:
+    """One network, in CIDR notation, whose controllers are likely to fail together."""
+
+    domain: str
+    network: str
+
+
 @dataclass(frozen=True)
 class Operators:
     """Defaults are those of DESIGN-emberglade, or tainted there as open."""
@@ -24,6 +32,11 @@
     seed: int = 0
     cost_spread: float = 2.0
     share: float = 0.001
+    failure_detection: bool = False  # whether controllers watch each other by heartbeats
+    suspect_after: float = 2.0  # intervals of the exchange between controllers
+    confirm_after: float = 1 / 3  # workers' leases
+    suspect_phi: float = 5.0
+    failure_domain: tuple[DomainNetwork, ...] = ()
 
 
 def _message_class():
@@ -33,17 +46,25 @@
         name="emberglade.proto", package="emberglade", syntax="proto2"
     )
     message = file.message_type.add(name="Operators")
+    field = descriptor_pb2.FieldDescriptorProto
+    kinds = {int: field.TYPE_INT64, float: field.TYPE_DOUBLE, bool: field.TYPE_BOOL}
     for number, item in enumerate(fields(Operators), 1):
-        kind = (
-            descriptor_pb2.FieldDescriptorProto.TYPE_INT64
-            if item.type in (int, "int")
-            else descriptor_pb2.FieldDescriptorProto.TYPE_DOUBLE
-        )
-        message.field.add(
-            name=item.name,
-            number=number,
-            type=kind,
-            label=descriptor_pb2.FieldDescriptorProto.LABEL_OPTIONAL,
+        if item.type in kinds:
+            message.field.add(
+                name=item.name, number=number, type=kinds[item.type], label=field.LABEL_OPTIONAL
+            )
+        else:
+            message.field.add(
+                name=item.name,
+                number=number,
+                type=field.TYPE_MESSAGE,
+                type_name=".emberglade.DomainNetwork",
+                label=field.LABEL_REPEATED,
+            )
+    network = file.message_type.add(name="DomainNetwork")
+    for number, name in enumerate(("name", "network"), 1):
+        network.field.add(
+            name=name, number=number, type=field.TYPE_STRING, label=field.LABEL_OPTIONAL
         )
     pool = descriptor_pool.DescriptorPool()
     pool.Add(file)
@@ -71,9 +92,14 @@
     found = {
         item.name: getattr(message, item.name)
         for item in fields(Operators)
-        if message.HasField(item.name)
+        if item.name != "failure_domain" and message.HasField(item.name)
     }
+    found["failure_domain"] = tuple(
+        DomainNetwork(row.name, row.network) for row in message.failure_domain
+    )
     for name, value in found.items():
+        if name == "failure_domain":
+            continue
         if not math.isfinite(value) or value < 0:
             raise SettingsError(f"{file}: {name}: {value!r} is not a number of at least 0")
     if not 0 < found.get("epsilon", 0.1) <= 0.5:
--- a/emberglade/config/platform.py
+++ b/emberglade/config/platform.py
@@ -100,6 +100,11 @@
     fd_limit: int
     names: tuple = field(default=())
 
+    @property
+    def exchange_s(self):
+        """The interval at which controllers exchange statements, and with them heartbeats."""
+        return max(1.0, self.report_s / 2)
+
     @property
     def blind_s(self):
         """How long a node without the state service may answer workers.
--- /dev/null
+++ b/emberglade/failure_detection/view.py
@@ -0,0 +1,31 @@
+"""What the rest of a controller is told of its peers."""
+
+from typing import NamedTuple
+
+from .messages import PeerState
+
+
+class LivenessView(NamedTuple):
+    """Which controllers can be relied on, as this one sees it now."""
+
+    states: dict[str, PeerState]
+    serving: frozenset[str]  # these can commit; this controller is among them
+    slow: frozenset[str]  # these ask not to be given others' work
+    may_take_over: bool  # whether this controller trusts its own picture
+    may_return: bool  # whether it has served for long enough to get its home shards back
+    # Of the last change of a node's key, a shard or the lead that this view takes into account.
+    revision: int = -1
+
+    @property
+    def dead(self):
+        """Those whose end is confirmed."""
+        return frozenset(name for name, state in self.states.items() if state is PeerState.DEAD)
+
+    @property
+    def suspected(self):
+        """Those that are silent, unconfirmed or confirmed."""
+        return frozenset(
+            name
+            for name, state in self.states.items()
+            if state in (PeerState.SUSPECTED, PeerState.DEAD)
+        )
--- a/emberglade/fleet/autoscaler.py
+++ b/emberglade/fleet/autoscaler.py
@@ -108,6 +108,8 @@
         self.moves = 0.0  # replicas that may be moved by now
         # The first round comes soon: after a take-over or at the very start nothing is on its way.
         self.ticks = max(0, int(self.operators.cost_round_s) - 3)
+        # What every controller knows of silent machines is the new leader's account of them.
+        self.agents.tell("silence", self.then("silent"), True)
         if not self.types:
             # Until somebody has, no submission can be judged.
             self.ask_catalog()
--- a/emberglade/jobs/commits.py
+++ b/emberglade/jobs/commits.py
@@ -6,7 +6,7 @@
 from ..state import FINAL, LIVE
 from ..state import wire as state_wire
 from ..state.store import DECISIONS
-from ..transport import NO_ANSWER
+from ..transport import status_text
 from .record import (
     final_key,
     job_key,
@@ -180,7 +180,7 @@
             log.info(
                 "a commit of %d keys got %s (%s); they are read again",
                 len(self.flight),
-                "no answer" if status == NO_ANSWER else status,
+                status_text(status),
                 failed,
             )
             if status == 400:
--- a/emberglade/jobs/relayout.py
+++ b/emberglade/jobs/relayout.py
@@ -12,7 +12,7 @@
 from ..state import LIVE
 from ..state import wire as state_wire
 from ..state.store import DECISIONS
-from ..transport import NO_ANSWER
+from ..transport import status_text
 from .record import Job, Part, job_key, part_key, part_size_for, shard_of
 
 log = logging.getLogger("emberglade.jobs")
@@ -167,7 +167,7 @@
             level,
             "laying %s out anew got %s (%s); it is tried again",
             change.job_id,
-            "no answer" if status == NO_ANSWER else status,
+            status_text(status),
             failed,
         )
 
--- a/emberglade/main.py
+++ b/emberglade/main.py
@@ -4,9 +4,30 @@
 import logging
 import os
 import sys
+from dataclasses import replace
 
 from .config import SettingsError, load_operators, load_platform, small_quota_warnings
 
+# Switches of the operators' settings that the command line can turn on as well: reading the
+# operators' file takes a library that a start without it does not import.
+FEATURES = ("failure-detection",)
+
+
+def enable(operators, names):
+    """The operators' settings with these features turned on."""
+    return replace(operators, **{name.replace("-", "_"): True for name in names})
+
+
+def check_detection(settings, operators, source):
+    """SettingsError if bounds or domains of failure detection are wrong."""
+    from .failure_detection import DetectionError, detection_bounds, failure_domains
+
+    try:
+        detection_bounds(settings, operators)
+        failure_domains(settings, operators)
+    except DetectionError as error:
+        raise SettingsError(f"{source}: {error}") from None
+
 
 def main(arguments=None):
     """Runs the command line; returns the exit code."""
@@ -27,6 +48,14 @@
     parser.add_argument(
         "--config", metavar="FILE", help="the platform's settings, TOML; not needed for profile"
     )
+    parser.add_argument(
+        "--enable",
+        metavar="FEATURE",
+        action="append",
+        choices=FEATURES,
+        default=[],
+        help="turn a feature on, as the operators' file can: " + ", ".join(FEATURES),
+    )
     options = parser.parse_args(arguments)
     if options.command == "profile":
         from .accounting import read_accounts, render
@@ -37,7 +66,9 @@
         parser.error("--config is needed")
     try:
         settings = load_platform(options.config)
-        operators = load_operators(options.operators)
+        operators = enable(load_operators(options.operators), options.enable)
+        if operators.failure_detection or options.operators:
+            check_detection(settings, operators, options.operators or "the defaults")
     except SettingsError as error:
         print(f"emberglade: {error}", file=sys.stderr)
         return 2
--- a/emberglade/membership/member.py
+++ b/emberglade/membership/member.py
@@ -1,9 +1,4 @@
-"""Keeps this node's key alive, takes the shards it should hold, and the lead when it is free.
-
-Taking a shard writes its key, and every write to a job is conditional on that key's stamp: a
-former holder can't write any more, however late it learns of it. So nothing here has to be
-exact about who is alive; wrong guesses cost time, never safety.
-"""
+"""Keeps this node's lease and key alive, and follows who holds what."""
 
 import logging
 
@@ -12,34 +7,28 @@
 from ..state import LIVE, Follower
 from ..state import wire as state_wire
 from ..state.store import DECISIONS
+from .claims import Claims, claims_revision
 
 log = logging.getLogger("emberglade.membership")
 
-SHARDS_PER_NODE = 4
 TRANSACTION_BYTES = 48 * 1024  # PROTOCOL's 64 KiB, less keys, names of fields and some room
 
 
-def shard_count(settings):
-    """How many shards the jobs are spread over."""
-    return SHARDS_PER_NODE * settings.size
-
-
-class Member(Follower):
+class Member(Claims, Follower):
     """Keeps this controller's lease and key, and claims shards and the lead."""
 
     def __init__(self, settings, store, listeners):
+        Claims.__init__(self, settings)
         self.settings, self.store = settings, store
         self.listeners = listeners  # actors told `identity(incarnation)`
         self.lease = None
         # A crashed node is taken over within a third of a worker's lease; mostly it is back sooner.
         self.life_s = max(0.1, settings.lease_s / 3)
-        self.nodes, self.shards, self.lead = {}, {}, None
+        self.nodes = {}
         self.loaded = False
         self.table, self.further = None, []
         self.parts = []  # further values of the table that are still to be written
         self.parts_kept = 0  # so many keys of further values may be there
-        self.busy_shards = False
-        self.busy_lead = False
         self.busy_key = False
         self.key_dirty = True
 
@@ -157,7 +146,8 @@
     def on_changed(self, events, revision, whole):
         self.loaded = True
         if whole:
-            self.nodes, self.shards, self.lead = {}, {}, None
+            self.nodes = {}
+            self.forget_claims()
         touched = False
         for key, data, stamp in events:
             if key.startswith("n/"):
@@ -165,16 +155,12 @@
                     self.nodes.pop(key[2:], None)
                 else:
                     self.nodes[key[2:]] = data.get("inc")
-            elif key.startswith("s/"):
-                if data is None:
-                    self.shards.pop(int(key[2:]), None)
-                else:
-                    self.shards[int(key[2:])] = (data.get("node"), data.get("inc"), stamp)
-            elif key == "lead":
-                self.lead = None if data is None else (data.get("node"), data.get("inc"), stamp)
-            else:
+            elif not self.note_claim(key, data, stamp):
                 continue
             touched = True
+        changed = claims_revision(events, revision, whole)
+        if changed is not None:
+            self.claims_revision = max(self.claims_revision, changed)
         if touched:
             self.claim()
 
@@ -184,65 +170,3 @@
             self.key_dirty = True
         self.write_key()
         self.claim()
-
-    def wanted(self, shard):
-        """Who should hold the shard: its home node, or if that is not alive the next live one."""
-        names = self.settings.names
-        home = names[shard % len(names)]
-        if home in self.nodes:
-            return home
-        live = [name for name in names if name in self.nodes]
-        return live[(shard // len(names)) % len(live)] if live else None
-
-    def claim(self):
-        me = self.settings.node
-        if not self.loaded or self.lease is None or self.nodes.get(me) != self.incarnation:
-            return
-        if not self.busy_shards:
-            take = [
-                k
-                for k in range(shard_count(self.settings))
-                if self.wanted(k) == me
-                and self.shards.get(k, (None, None, 0))[:2] != (me, self.incarnation)
-            ]
-            take = take[: self.settings.txn_ops]
-            if take:
-                self.busy_shards = True
-                conditions = [
-                    (f"{LIVE}s/{k}", self.shards.get(k, (None, None, 0))[2]) for k in take
-                ]
-                writes = [
-                    state_wire.put(f"{LIVE}s/{k}", {"node": me, "inc": self.incarnation})
-                    for k in take
-                ]
-                log.info("taking shards %s", take)
-                self.store.tell("commit", DECISIONS, conditions, writes, self.then("claimed"))
-        # A node that is back at once finds the lead of its own former process, which is no more.
-        stale = self.lead is not None and self.lead[0] == me and self.lead[1] != self.incarnation
-        if (self.lead is None or stale) and not self.busy_lead:
-            self.busy_lead = True
-            self.store.tell(
-                "commit",
-                DECISIONS,
-                [(LIVE + "lead", self.lead[2] if stale else 0)],
-                [state_wire.put(LIVE + "lead", {"node": me, "inc": self.incarnation}, self.lease)],
-                self.then("led", self.lease),
-            )
-
-    def on_claimed(self, status, revision, failed):
-        self.store.tell("sync", self.then("claim_seen"))
-
-    def on_claim_seen(self, revision):
-        self.busy_shards = False
-        if revision is not None:
-            self.claim()
-
-    def on_led(self, lease, status, revision, failed):
-        if status == 200:
-            log.info("leading from revision %s", revision)
-        else:
-            self.lost_lease(lease, status, failed)
-        self.store.tell("sync", self.then("lead_seen"))
-
-    def on_lead_seen(self, revision):
-        self.busy_lead = False
--- a/emberglade/node.py
+++ b/emberglade/node.py
@@ -4,6 +4,7 @@
 import logging
 import threading
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import orjson
 
@@ -14,11 +15,14 @@
 from .fleet import Autoscaler
 from .frontdoor import Api
 from .jobs import JobManager
-from .membership import FormatUpgrade, Member
+from .membership import FormatUpgrade, Member, shard_count
 from .memory_guard import MemoryGuard
 from .state import Store, read_since
 from .transport import Client, ClientPool, Server, ServerLimits
 
+if TYPE_CHECKING:
+    from .failure_detection import PeerMonitor
+
 log = logging.getLogger("emberglade")
 
 
@@ -33,9 +37,11 @@
     agents: AgentManager
     autoscaler: Autoscaler
     api: Api
+    peer_monitor: "PeerMonitor | None" = None  # if failure detection is on
 
     def actors(self):
-        return [
+        watching = [] if self.peer_monitor is None else [(self.peer_monitor, "failure_detection")]
+        return watching + [
             (self.store, "state"),
             (self.job_manager, "jobs"),
             (self.member, "membership"),
@@ -53,7 +59,7 @@
         """How much there is of what takes memory."""
         return (
             f"{len(self.store.copy)} live keys, {len(self.job_manager.jobs)} jobs, "
-            f"{len(self.agents.detector.view)} machines, {len(self.api.final)} final states at hand"
+            f"{len(self.agents.evidence.view)} machines, {len(self.api.final)} final states at hand"
         )
 
     def peer_route(self, method, path, body, reply):
@@ -63,7 +69,14 @@
             reply(400, {"error": "not JSON"})
             return
         if path == "/peer/heard" and method == "POST":
+            if self.peer_monitor is not None:
+                self.peer_monitor.tell_inline("hear_question", data)
+                reply = self.peer_monitor.answering(reply)
             self.agents.tell_inline("heard", read_question(data), reply)
+        elif path == "/peer/ping" and method == "POST" and self.peer_monitor is not None:
+            self.peer_monitor.tell_inline("ping", data, reply)
+        elif path == "/peer/probe" and method == "POST" and self.peer_monitor is not None:
+            self.peer_monitor.tell_inline("probe", data, reply)
         elif path == "/peer/facts" and method == "POST" and isinstance(data, list):
             for fact in read_facts(data):
                 self.job_manager.tell(*fact)
@@ -77,19 +90,45 @@
             reply(404, {"error": "no such path"})
 
 
+def watch_peers(settings, operators, store, member, peer_clients):
+    """The monitor of the other controllers, which the member's claims follow from now on."""
+    from .failure_detection import (  # a start without it does not pay for it
+        LeadPlanner,
+        PeerMonitor,
+        ShardPlanner,
+        detection_bounds,
+        failure_domains,
+    )
+
+    bounds = detection_bounds(settings, operators)
+    domains = failure_domains(settings, operators)
+    member.watch_peers(
+        ShardPlanner(settings.node, settings.names, shard_count(settings), bounds.heartbeat_s),
+        LeadPlanner(settings.node, settings.names, bounds.heartbeat_s),
+    )
+    return PeerMonitor(settings, bounds, domains, store, peer_clients)
+
+
 def assemble(settings, operators, state_client, cloud_client, peer_clients, workers):
     """The actors of one node, not running yet."""
     store = Store(settings, state_client)
     job_manager = JobManager(settings, store)
     listeners = [job_manager]
     member = Member(settings, store, listeners)
+    peer_monitor = None
+    if operators.failure_detection:
+        peer_monitor = watch_peers(settings, operators, store, member, peer_clients)
+        peer_clients = peer_monitor.links_with_heartbeats()
     agents = AgentManager(settings, store, job_manager, member, peer_clients, workers)
     job_manager.agents = agents
     autoscaler = Autoscaler(settings, operators, store, job_manager, agents, cloud_client)
     api = Api(settings, store, agents)
     format_upgrade = FormatUpgrade(settings, store)
     listeners += [agents, autoscaler, format_upgrade, api]
-    return Node(store, job_manager, member, format_upgrade, agents, autoscaler, api)
+    if peer_monitor is not None:
+        listeners.append(peer_monitor)
+        peer_monitor.listeners = [agents, member]
+    return Node(store, job_manager, member, format_upgrade, agents, autoscaler, api, peer_monitor)
 
 
 class DescriptorBudget:
--- a/emberglade/transport/__init__.py
+++ b/emberglade/transport/__init__.py
@@ -1,14 +1,16 @@
 """HTTP/1.1 between the controller and everything else: its clients and its servers."""
 
-from .client import NO_ANSWER, Client, ClientPool, Connection, parse_address
+from .client import NO_ANSWER, REFUSED, Client, ClientPool, Connection, parse_address, status_text
 from .server import Server, ServerLimits
 
 __all__ = [
     "NO_ANSWER",
+    "REFUSED",
     "Client",
     "ClientPool",
     "Connection",
     "Server",
     "ServerLimits",
     "parse_address",
+    "status_text",
 ]
--- a/emberglade/transport/client.py
+++ b/emberglade/transport/client.py
@@ -15,10 +15,16 @@
 log = logging.getLogger("emberglade.transport")
 
 NO_ANSWER = 0  # status given to the caller when no answer came
+REFUSED = -1  # status when the connection was refused, so that nothing was sent
 
 Reply = Callable[[int, Any], None]  # reply(status, decoded body)
 
 
+def status_text(status: int) -> int | str:
+    """A status as it is logged."""
+    return {NO_ANSWER: "no answer", REFUSED: "no connection"}.get(status, status)
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """(host, port) of a text like 10.0.0.1:8080."""
     host, _, port = text.rpartition(":")
@@ -130,7 +136,7 @@
     """A few threads that carry calls to one address; answers go to a callable.
 
     `call(method, path, body, timeout, reply)` ends in `reply(status, body)`, with status
-    NO_ANSWER when the outcome is not known.
+    NO_ANSWER when the outcome is not known, REFUSED when nobody took the connection.
     """
 
     def __init__(
@@ -155,6 +161,9 @@
             method, path, body, timeout, reply = self.jobs.get()
             try:
                 status, data = connection.request(method, path, body, timeout)
+            except ConnectionRefusedError:
+                connection.close()
+                status, data = REFUSED, None
             except (OSError, ValueError, IndexError) as error:
                 log.debug("%s %s at %s: %s", method, path, self.address, error)
                 connection.close()
--- a/tests/breakages.py
+++ b/tests/breakages.py
@@ -5,13 +5,19 @@
 
 import orjson
 
-from emberglade.agents.failure_detector import FailureDetector
+from emberglade.agents.lease_evidence import LeaseEvidence
 from emberglade.agents.manager import AgentManager
+from emberglade.failure_detection import FailureDomains, PeerMonitor, ShardPlanner
+from emberglade.failure_detection.detector import PeerDetector
+from emberglade.failure_detection.local_health import LocalHealth
+from emberglade.failure_detection.messages import PeerState
+from emberglade.failure_detection.peer import Peer
 from emberglade.fleet.taints import TaintChange
 from emberglade.frontdoor.api import Api
 from emberglade.jobs.dependencies import DependencyGraph
 from emberglade.jobs.manager import JobManager
 from emberglade.jobs.record import Job
+from emberglade.membership import NOBODY
 from emberglade.placement.room import Room
 from emberglade.state.store import LIVE, Store
 
@@ -114,7 +120,7 @@
 
     def on_beat(self, data, reply):
         if isinstance(data, dict):
-            self.detector.view.pop(data.get("hearth"), None)
+            self.evidence.view.pop(data.get("hearth"), None)
             self.known.pop(data.get("hearth"), None)
         original(self, data, reply)
 
@@ -139,7 +145,7 @@
             if said.copy_revision <= revision:
                 self.level[peer] = max(self.level.get(peer, said.asked), said.asked)
 
-    patch.setattr(FailureDetector, "compare_copies", compare_copies)
+    patch.setattr(LeaseEvidence, "compare_copies", compare_copies)
 
 
 def never_silent(patch):
@@ -222,7 +228,7 @@
 
 def proves_by_silence(patch):
     """A machine that the leader has not heard of is taken for one whose lease is over."""
-    patch.setattr(FailureDetector, "proven_over", lambda self, *_: True)
+    patch.setattr(LeaseEvidence, "proven_over", lambda self, *_: True)
 
 
 def tells_before_commit(patch):
@@ -306,3 +312,99 @@
 def taints_stay(patch):
     """A key that holds too many taints passes none on."""
     patch.setattr(TaintChange, "shrink", lambda self: None)
+
+
+def accuses_alone(patch):
+    """Whoever is suspected counts as dead."""
+
+    def confirm(self, peer, isolated, now):
+        self._move(peer, PeerState.DEAD, "suspected")
+        return True
+
+    patch.setattr(PeerDetector, "_confirm", confirm)
+
+
+def deaf_to_vouchers(patch):
+    """That another controller hears a peer counts for nothing."""
+    patch.setattr(PeerDetector, "_vouch", lambda self, peer, mark, sent_at, now: False)
+
+
+def copies_count(patch):
+    """Any heartbeat is a sign of life, whatever came before it and however old it is."""
+    original = PeerDetector.hear
+
+    def hear(self, heartbeat, now, wall):
+        peer = self.peers[heartbeat.sender]
+        peer.direct_mark = peer.mark = None
+        return original(self, heartbeat._replace(sent_wall=wall), now, wall)
+
+    patch.setattr(PeerDetector, "hear", hear)
+
+
+def no_self_doubt(patch):
+    """A controller never takes itself for the one that is slow."""
+    patch.setattr(LocalHealth, "turn", lambda self, now, late_s: False)
+
+
+def never_isolated(patch):
+    """A controller never takes itself for the one that is cut off."""
+    patch.setattr(PeerDetector, "_isolated", lambda self: False)
+
+
+def domains_count_twice(patch):
+    """Each controller is a witness of its own."""
+    patch.setattr(FailureDomains, "of", lambda self, controller: controller)
+
+
+def unknown_is_gone(patch):
+    """Who has not been heard yet serves only by its key, from the first moment on."""
+    original = Peer.serves
+    patch.setattr(Peer, "serves", lambda self, now, startup_over: original(self, now, True))
+
+
+def keys_alone_serve(patch):
+    """A controller whose key is missing does not serve, however well it is heard."""
+    original = Peer.serves
+    patch.setattr(
+        Peer,
+        "serves",
+        lambda self, now, startup_over: (
+            self.key_lease is not None and original(self, now, startup_over)
+        ),
+    )
+
+
+def returns_at_once(patch):
+    """A controller takes its shards back whenever it can."""
+    patch.setattr(Peer, "return_wait_s", lambda self, now: 0.0)
+    original = ShardPlanner._is_due_back
+
+    def is_due_back(self, shard, holder, view):
+        return original(self, shard, holder, view._replace(may_return=True))
+
+    patch.setattr(ShardPlanner, "_is_due_back", is_due_back)
+
+
+def takes_nothing_over(patch):
+    """A shard that loses its holder waits for its home."""
+    patch.setattr(
+        ShardPlanner, "_is_due", lambda self, shard, holder, line, view, now: holder == NOBODY
+    )
+
+
+def takes_over_blindly(patch):
+    """Claims follow the view of the last turn, also one that is older than the copy."""
+    on_changed = PeerMonitor.on_changed
+
+    def change_without_view(self, events, revision, whole):
+        with patch.context() as quiet:
+            quiet.setattr(PeerMonitor, "publish", lambda self, view: None)
+            on_changed(self, events, revision, whole)
+
+    def publish(self, view):
+        for listener in self.listeners:
+            listener.tell("liveness", view._replace(revision=2**60))
+
+    patch.setattr(PeerMonitor, "publish", publish)
+    patch.setattr(PeerMonitor, "on_changed", change_without_view)
+    patch.setattr(PeerDetector, "begin", lambda self, now: None)
--- a/tests/scenario_kinds/__init__.py
+++ b/tests/scenario_kinds/__init__.py
@@ -3,6 +3,8 @@
 from .actors import ActorsScenario
 from .calls import CallsScenario
 from .cluster import ClusterScenario
+from .detector import DetectorScenario
+from .loopback import LoopbackScenario
 from .memory import MemoryScenario
 from .server import ServerScenario
 from .settings import SettingsScenario
@@ -12,6 +14,8 @@
 KINDS = {
     "actors": ActorsScenario,
     "calls": CallsScenario,
+    "detector": DetectorScenario,
+    "loopback": LoopbackScenario,
     "memory": MemoryScenario,
     "server": ServerScenario,
     "cluster": ClusterScenario,
--- a/tests/scenario_kinds/cluster.py
+++ b/tests/scenario_kinds/cluster.py
@@ -1,12 +1,15 @@
 """Whole deployments on simulated time."""
 
 import importlib
+from dataclasses import replace
 
 import breakages
 import orjson
 from stand_ins import faults
 from stand_ins.cluster import JOB, NOT_NULL, Cluster
+from stand_ins.ownership import Ownership
 
+from emberglade.config import Operators
 from scenario_kinds.words import split, value
 
 
@@ -17,6 +20,8 @@
         self.patch = patch
         self.seed, self.teams, self.plan, self.until, self.limits = 1, {}, [], 100.0, {}
         self.production = ()
+        self.watch_takeovers = False
+        self.operators = Operators(failure_detection=True)
         self.cluster, self.answers, self.named = None, [], {}
         self.calls = {}  # functions that are counted -> calls
 
@@ -30,6 +35,10 @@
         elif verb == "team":
             plain, named = split(words)
             self.teams[plain[0]] = {"cpus": 0.0, "cpus_max": 0.0, **named}
+        elif verb == "operators":
+            self.operators = replace(self.operators, **split(words)[1])
+        elif verb == "watch":
+            self.watch_takeovers = True
         elif verb == "production":
             self.production = words
         elif verb == "break":
@@ -64,9 +73,10 @@
     def play(self):
         if self.cluster is not None:
             return
-        self.cluster = Cluster(
-            self.seed, teams=self.teams or None, production=self.production, **self.limits
-        )
+        self.cluster = self.make_cluster()
+        self.ownership = Ownership(self.cluster)
+        if self.watch_takeovers:
+            self.ownership.watch()
         for verb, words in self.plan:
             if verb == "random" and "meetings" in split(words)[1]:
                 named = split(words)[1]
@@ -94,6 +104,19 @@
                 self.cluster.world.at(float(words[0]), getattr(self, "do_" + words[1]), *words[2:])
         self.cluster.world.run(self.until)
 
+    def rules(self):
+        """The rules that were broken."""
+        return self.cluster.observer.rules()
+
+    def make_cluster(self):
+        return Cluster(
+            self.seed,
+            teams=self.teams or None,
+            production=self.production,
+            operators=self.operators,
+            **self.limits,
+        )
+
     def node(self, word):
         """A controller by name, or one that `at T name WORD leader+N` has named."""
         return self.named.get(word, word)
@@ -184,6 +207,46 @@
         """Everything in the zone, controllers included, is cut off from everything else."""
         self.cluster.cut_zone(zone, float(seconds), mode)
 
+    def do_power_off(self, node, seconds):
+        """Its machine loses power: nothing refuses connections."""
+        self.cluster.crash(self.node(node), float(seconds), power=False)
+
+    def do_one_way(self, source, target, seconds):
+        """What the first controller sends does not reach the second one."""
+        self.cluster.world.mute([self.node(source)], [self.node(target)], float(seconds))
+
+    def do_flap(self, first, second, period, count):
+        """The link is cut for half of each period."""
+        for number in range(int(count)):
+            self.cluster.world.at(
+                number * float(period), self.do_cut, first, second, float(period) / 2, "lose"
+            )
+
+    def do_flap_state(self, node, period, count):
+        """The state service refuses this controller for half of each period."""
+        for number in range(int(count)):
+            self.cluster.world.at(number * float(period), self.do_refuse, node, float(period) / 2)
+
+    def do_lapse(self, node):
+        """The controller's renewals are lost until its lease has ended; all else is served."""
+        state = self.cluster.state
+        rows = [row for key, row in state.keys.items() if key == "eg/l/n/" + node]
+        for row in rows:
+            state.leases[row[2]][1] = self.cluster.world.now
+            state.expire(row[2])
+
+    def do_starve(self, node, every, seconds):
+        """The controller stands still again and again."""
+        for number in range(int(60 / float(every))):
+            self.cluster.world.at(number * float(every), self.do_freeze, node, seconds)
+
+    def do_statement(self, node, *body):
+        """A ping with that body reaches the controller."""
+        self.cluster.ask(self.node(node), "POST", "/peer/ping", " ".join(body), self.answers)
+
+    def do_probe(self, node, *body):
+        self.cluster.ask(self.node(node), "POST", "/peer/probe", " ".join(body), self.answers)
+
     def do_freeze(self, node, seconds):
         self.cluster.freeze(node, float(seconds))
 
@@ -403,6 +466,31 @@
     def expect_late_applied(self, least):
         assert self.cluster.state.late_applied >= int(least), self.cluster.state.late_applied
 
+    def expect_taken_over(self, node, since, seconds):
+        """All that the controller held then was others' that many seconds later."""
+        took = self.ownership.taken_over(self.node(node), float(since))
+        assert took <= float(seconds), took
+
+    def expect_not_taken(self, node, since):
+        """Nothing of the controller was taken over by others from then on."""
+        taken = self.ownership.losses(self.node(node), float(since))
+        assert not taken, taken
+
+    def expect_held_at_home(self):
+        """In the end each home shard is with its home."""
+        away = self.ownership.away_from_home()
+        assert not away, away
+
+    def expect_moves(self, least, most):
+        """So often shards and the lead changed hands after the first 10 s."""
+        count = len(self.ownership.moves(10.0))
+        assert int(least) <= count <= int(most), self.ownership.moves(10.0)
+
+    def expect_most_held(self, node, most):
+        """No more shards than that were ever held by this controller after the first 10 s."""
+        held = self.ownership.most_held(self.node(node), 10.0)
+        assert held <= int(most), held
+
     def expect_led(self, least):
         """The lead was taken so often."""
         assert self.cluster.state.written.get("eg/l/lead", 0) >= int(least), (
--- a/tests/scenario_kinds/settings.py
+++ b/tests/scenario_kinds/settings.py
@@ -8,6 +8,7 @@
     load_platform,
     small_quota_warnings,
 )
+from emberglade.main import check_detection
 
 GOOD = """node_name = "hearth-0"
 location = "a"
@@ -76,13 +77,20 @@
             file = self.tmp / "operators.txtpb"
             file.write_text(words[0])
             if words[1] == "ok":
-                load_operators(file)
+                self.check_detection(file)
+            elif words[1] == "detection":
+                with pytest.raises(SettingsError, match=words[2]) as caught:
+                    self.check_detection(file)
+                assert "\n" not in str(caught.value) and "operators.txtpb" in str(caught.value)
             else:
                 with pytest.raises(SettingsError, match=words[2]):
                     load_operators(file)
         else:
             raise AssertionError(verb)
 
+    def check_detection(self, file):
+        check_detection(load_platform(self.write()), load_operators(file), str(file))
+
     def write(self):
         file = self.tmp / "settings.toml"
         file.write_text(self.text)
--- a/tests/scenario_kinds/start.py
+++ b/tests/scenario_kinds/start.py
@@ -22,7 +22,9 @@
 
 
 class StartScenario:
-    """`start [OPERATORS]` in a fresh interpreter, then expectations on the modules it imported."""
+    """`start [OPERATORS]` or `start --enable FEATURE` in a fresh interpreter, then expectations on
+    the modules it imported.
+    """
 
     def __init__(self, patch, tmp_path):
         self.tmp, self.modules = tmp_path, set()
@@ -40,11 +42,13 @@
         else:
             raise AssertionError(verb)
 
-    def start(self, operators=None):
+    def start(self, operators=None, feature=None):
         settings = self.tmp / "settings.toml"
         settings.write_text(GOOD)
         arguments = ["check", "--config", str(settings)]
-        if operators is not None:
+        if feature is not None:
+            arguments += [operators, feature]
+        elif operators is not None:
             file = self.tmp / "operators.txtpb"
             file.write_text(operators)
             arguments += ["--operators", str(file)]
--- a/tests/stand_ins/cloud.py
+++ b/tests/stand_ins/cloud.py
@@ -154,7 +154,7 @@
     def row(self, now):
         return {
             "id": self.name,
-            "addr": self.name + ":9000",
+            "addr": self.world.address_of(self.name),
             "hearth_kind": self.type["label"],
             "glade": self.zone,
             "driftwood": self.spot,
@@ -236,7 +236,7 @@
         self.tally += 1
         return {
             "hearth": self.name,
-            "addr": self.name + ":9000",
+            "addr": self.world.address_of(self.name),
             "hearth_kind": self.type["label"],
             "glade": self.zone,
             "driftwood": self.spot,
--- a/tests/stand_ins/cluster.py
+++ b/tests/stand_ins/cluster.py
@@ -53,8 +53,18 @@
 class Cluster:
     """Controllers, state service, cloud, workers and users of one scenario."""
 
-    def __init__(self, seed, zones=("a", "b", "c"), teams=None, production=(), **limits):
-        self.world = World(seed)
+    def __init__(
+        self,
+        seed,
+        zones=("a", "b", "c"),
+        teams=None,
+        production=(),
+        operators=None,
+        world=None,
+        **limits,
+    ):
+        self.operators = operators or Operators()
+        self.world = world or World(seed)
         self.zones = zones
         self.teams = teams or {"core": {"cpus": 0.0, "cpus_max": 0.0}}
         self.limits = limits = {**LIMITS, **limits}
@@ -152,15 +162,16 @@
 
     def begin(self, name):
         process = SimSystem(self.world, name, self.seed)
+        older = name in self.production
         node = assemble(
             self.settings(name),
-            Operators(),
+            Operators() if older else self.operators,
             SimClient(process, "state"),
             SimClient(process, "cloud"),
             {n: SimClient(process, n) for n in self.names if n != name},
             SimClientPool(process),
         )
-        for actor, actor_name in as_production(node) if name in self.production else node.actors():
+        for actor, actor_name in as_production(node) if older else node.actors():
             process.spawn(actor, actor_name)
 
         def handle(method, path, body, source, reply):
@@ -175,10 +186,12 @@
         self.world.hosts[name] = handle
         self.processes[name], self.nodes[name] = process, node
 
-    def crash(self, name, seconds):
+    def crash(self, name, seconds, power=True):
+        """The process ends; without power its machine does not even refuse connections."""
         if self.processes[name].alive:
             self.processes[name].alive = False
             self.world.hosts[name] = None
+            (self.world.without_power.discard if power else self.world.without_power.add)(name)
             self.world.at(seconds, self.begin, name)
 
     def crash_leader(self, seconds):
--- a/tests/stand_ins/world.py
+++ b/tests/stand_ins/world.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from emberglade.transport import NO_ANSWER
+from emberglade.transport import NO_ANSWER, REFUSED
 
 
 class World:
@@ -18,6 +18,7 @@
         self.heap = []
         self.order = itertools.count()
         self.hosts = {}  # name -> handler(method, path, body, source, reply) or None while down
+        self.without_power = set()  # hosts whose machine is off: silent while they are down
         self.cuts = []  # [first set of hosts, second set, until, mode]
         self.mutes = []  # [from these hosts, to those, until]: lost in this direction alone
         # [these hosts, to those, until]: can't open connections, while the other way works
@@ -37,6 +38,10 @@
             action(*args)
         self.now = until
 
+    def address_of(self, worker):
+        """Where a worker takes direct commands."""
+        return worker + ":9000"
+
     # --- network
 
     def cut(self, first, second, seconds, mode):
@@ -91,6 +96,9 @@
             handler = self.hosts.get(target)
             if handler is not None:
                 handler(method, path, payload, source, answered)
+            elif target in self.hosts and target not in self.without_power:
+                # Its process has ended; the machine refuses the connection.
+                self.carry(target, source, lambda: finish(REFUSED, None))
 
         if not any(
             source in sources and target in targets and until > self.now
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -39,7 +39,7 @@
         return
     for number in seed:
         with monkeypatch.context() as patch:
-            if guard[1] in play(file, number, guard[0], patch, tmp_path).cluster.observer.rules():
+            if guard[1] in play(file, number, guard[0], patch, tmp_path).rules():
                 return
     raise AssertionError(
         f"{file.name}: without the guard that {guard[0]} removes, "
