A pause is no loss of contact; measurement of takeovers and false alarms

Change: contact counts as of the last heartbeat, and a heartbeat leaves out for how long its sender stood still.

--- a/emberglade/failure_detection/local_health.py
+++ b/emberglade/failure_detection/local_health.py
@@ -15,6 +15,7 @@
         self.score = 0
         self.on_time = 0
         self.doubt_until = float("-inf")
+        self.last_late_s = 0.0  # how late the last very late turn came
 
     def turn(self, now, late_s):
         """Notes a turn of the loop that came so late; True if it was late enough to doubt."""
@@ -28,6 +29,7 @@
         if late_s <= self.heartbeat_s:
             return False
         self.doubt_until = now + DOUBT_INTERVALS * self.heartbeat_s
+        self.last_late_s = late_s
         return True
 
     @property
@@ -35,6 +37,10 @@
         """Whether late turns are the rule here, so that others should do this controller's work."""
         return self.score >= SLOW_SCORE
 
+    def excuse_s(self, now, overdue_s):
+        """For how long this controller stood still of late; `overdue_s`: its next turn is late."""
+        return max(overdue_s, self.last_late_s if self.doubtful(now) else 0.0)
+
     def doubtful(self, now):
         """Whether a late turn was so recent that others' silence may be this controller's own."""
         return now < self.doubt_until
--- a/emberglade/failure_detection/monitor.py
+++ b/emberglade/failure_detection/monitor.py
@@ -150,11 +150,13 @@
             return None
         now = self.now()
         self.sequence += 1
+        # While this process stood still it could be in contact with nobody; it will be at once.
+        excuse_s = self.detector.health.excuse_s(now, now - self.turn_due)
         return Heartbeat(
             sender=self.settings.node,
             mark=Mark(Incarnation(self.first_revision, self.incarnation), self.sequence),
             sent_wall=self.system.wall(),
-            contact_age_s=min(1e6, max(0.0, now - self.detector.contact_at)),
+            contact_age_s=min(1e6, max(0.0, now - self.detector.contact_at - excuse_s)),
             slow=self.detector.health.slow,
             opinions=self.detector.opinions(now),
         )
--- a/emberglade/failure_detection/peer.py
+++ b/emberglade/failure_detection/peer.py
@@ -99,10 +99,10 @@
             return True
         if self.state is PeerState.UNKNOWN:
             return not startup_over
-        if self.state is PeerState.ALIVE:
-            return now - self.contact_at < self.bounds.serves_without_key_s
-        # Suspected, its key gone: for a while others are asked. It had lost the state service
-        # before it fell silent if its contact was old even then.
+        # Its key is gone: what counts is how old its contact with the state service was when it was
+        # last heard. Once broken: a pause of two seconds made the contact of one that was not even
+        # suspected look old (failure_detection/short_pause.txt). A suspected one serves for a
+        # while, until others have been asked.
         return (
             self.heard_at - self.contact_at < self.bounds.serves_without_key_s
             and self.silence(now) < 2 * self.bounds.confirm_s
--- a/tests/breakages.py
+++ b/tests/breakages.py
@@ -374,6 +374,11 @@
     )
 
 
+def no_excuse(patch):
+    """A controller that stood still states how old its contact is, pause included."""
+    patch.setattr(LocalHealth, "excuse_s", lambda self, now, overdue_s: 0.0)
+
+
 def returns_at_once(patch):
     """A controller takes its shards back whenever it can."""
     patch.setattr(Peer, "return_wait_s", lambda self, now: 0.0)
--- a/tests/scenario_kinds/cluster.py
+++ b/tests/scenario_kinds/cluster.py
@@ -229,11 +229,7 @@
 
     def do_lapse(self, node):
         """The controller's renewals are lost until its lease has ended; all else is served."""
-        state = self.cluster.state
-        rows = [row for key, row in state.keys.items() if key == "eg/l/n/" + node]
-        for row in rows:
-            state.leases[row[2]][1] = self.cluster.world.now
-            state.expire(row[2])
+        self.cluster.state.end_lease_of("eg/l/n/" + node)
 
     def do_starve(self, node, every, seconds):
         """The controller stands still again and again."""
--- a/tests/stand_ins/state.py
+++ b/tests/stand_ins/state.py
@@ -228,6 +228,13 @@
         if gone:
             self.change(gone)
 
+    def end_lease_of(self, key):
+        """The lease that a key hangs on ends now, as if its renewals had come too late."""
+        if key in self.keys:
+            lease = self.keys[key][2]
+            self.leases[lease][1] = self.world.now
+            self.expire(lease)
+
     def serve_watches(self):
         if self.world.now < self.down_until:
             self.world.at(self.down_until - self.world.now + 0.01, self.serve_watches)
