--- a/emberglade/actors.py
+++ b/emberglade/actors.py
@@ -12,6 +12,7 @@
 import random
 import threading
 import time
+from typing import Any
 
 log = logging.getLogger("emberglade.actors")
 
@@ -19,8 +20,10 @@
 class Actor:
     """Base of all actors. Subclasses define `on_<message>` and may define `on_begin`."""
 
-    _post = _tell_inline = None
-    system = None
+    # Set by whoever runs the actor.
+    _post: Any = None
+    _tell_inline: Any = None
+    system: Any = None
 
     def tell(self, message, *args):
         self._post(0.0, message, args)
--- a/emberglade/failure_detection/arrivals.py
+++ b/emberglade/failure_detection/arrivals.py
@@ -14,7 +14,7 @@
 
     def __init__(self, heartbeat_s):
         self.heartbeat_s = heartbeat_s
-        self.intervals = deque(maxlen=WINDOW)
+        self.intervals: deque[float] = deque(maxlen=WINDOW)
 
     def add(self, interval_s):
         """Notes the time between two heartbeats that came one after the other."""
--- a/emberglade/failure_detection/detector.py
+++ b/emberglade/failure_detection/detector.py
@@ -119,6 +119,7 @@
         if (
             replaced
             and peer.state is not PeerState.UNKNOWN
+            and peer.mark is not None
             and lease != peer.mark.incarnation.lease
         ):
             # A process that was not heard yet, or one that sends no heartbeats.
@@ -236,7 +237,9 @@
         ]
         own = self.domains.of(self.node)
         others = [name for name in alive if self.domains.of(name) != own]
-        first, further, seen = [], [], set()
+        first: list[str] = []
+        further: list[str] = []
+        seen: set[str] = set()
         for name in sorted(others):
             (further if self.domains.of(name) in seen else first).append(name)
             seen.add(self.domains.of(name))
--- a/emberglade/failure_detection/monitor.py
+++ b/emberglade/failure_detection/monitor.py
@@ -3,9 +3,10 @@
 import logging
 from collections import Counter
 
+from ..actors import Actor
 from ..membership import claims_revision
 from ..state import Follower
-from ..transport import NO_ANSWER, REFUSED
+from ..transport import NO_ANSWER, REFUSED, Reply
 from .detector import PeerDetector
 from .messages import (
     HEARTBEAT_FIELD,
@@ -26,6 +27,7 @@
     write_probe,
     write_probe_result,
 )
+from .view import LivenessView
 
 log = logging.getLogger("emberglade.failure_detection")
 
@@ -59,15 +61,15 @@
     def __init__(self, settings, bounds, domains, store, links):
         self.settings, self.bounds, self.domains = settings, bounds, domains
         self.store, self.links = store, links
-        self.listeners = []
-        self.detector = None
-        self.first_revision = None
+        self.listeners: list[Actor] = []
+        self.detector: PeerDetector  # made when the actor begins
+        self.first_revision: int | None = None
         self.sequence = 0
-        self.view = None
+        self.view: LivenessView | None = None
         self.claims_revision = -1  # of the last change of a node's key, a shard or the lead
-        self.keys = set()  # peers whose keys are there
-        self.refused = Counter()  # peer -> statements that were refused
-        self.pinging = {}  # peer -> the answers to probes that wait for a ping
+        self.keys: set[str] = set()  # peers whose keys are there
+        self.refused: Counter[str] = Counter()  # peer -> statements that were refused
+        self.pinging: dict[str, list[Reply]] = {}  # peer -> probes that wait for its ping
         self.turn_due = 0.0
 
     def on_begin(self):
--- a/emberglade/failure_detection/peer.py
+++ b/emberglade/failure_detection/peer.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from .arrivals import ArrivalWindow
-from .messages import PeerState, PingOutcome
+from .messages import Mark, PeerState, PingOutcome
 
 
 class Peer:
@@ -12,8 +12,8 @@
     def __init__(self, name, bounds):
         self.name, self.bounds = name, bounds
         self.state = PeerState.UNKNOWN
-        self.mark = None  # of the newest heartbeat that anybody told of
-        self.direct_mark = None  # of the newest one that came here
+        self.mark: Mark | None = None  # of the newest heartbeat that anybody told of
+        self.direct_mark: Mark | None = None  # of the newest one that came here
         self.direct_at = float("-inf")  # when that one was sent, by our clock
         self.direct_contact_at = float("-inf")  # the contact that it stated
         self.arrived_at = float("-inf")  # when it came
@@ -28,7 +28,7 @@
         self.asked = ()
         self.was_serving = False
         self.serving_since = float("-inf")
-        self.losses = deque(maxlen=16)  # when it stopped serving
+        self.losses: deque[float] = deque(maxlen=16)  # when it stopped serving
 
     # --- signs of life
 
