--- a/emberglade/failure_detection/detector.py
+++ b/emberglade/failure_detection/detector.py
@@ -207,6 +207,12 @@
         if self.health.doubtful(now):
             return False
         key_shown_gone = peer.key_lease is None and self._in_contact(now)
+        if key_shown_gone and peer.refuses(now):
+            # Two witnesses: the state service, and the machine where nobody listens any more. Once
+            # slower than keys alone, when most controllers ended at once
+            # (failure_detection/most_gone.txt).
+            self._move(peer, PeerState.DEAD, "refuses, and the state service has ended its key")
+            return True
         relays = () if isolated else self._relays(peer)
         if not relays:
             # The state service alone is the witness.
