Accounts and check say what failure detection is set to and has seen

Need: operators ask for the bounds in seconds, and for counts of suspicions and refused statements, without reading logs. Change: a line of check, a field of the account, a line of profile. Settings of loopback controllers from a template.

--- a/emberglade/accounting.py
+++ b/emberglade/accounting.py
@@ -85,6 +85,7 @@
             "machines": len(node.agents.evidence.view),
             "reporting_here": len(node.agents.known),
             "final_states": len(node.api.final),
+            "failure_detection": node.peer_monitor and node.peer_monitor.account(),
             "actors": {
                 name: summarize_messages(messages, elapsed)
                 for name, messages in self.system.take_account().items()
@@ -133,6 +134,13 @@
     ):
         values = [account[field] for account in accounts]
         yield f"  {field}: {min(values):g} to {max(values):g}"
+    last = accounts[-1].get("failure_detection")
+    if last:
+        yield (
+            f"  peers: {last['suspicions']} suspicions, {last['deaths']} deaths, "
+            f"{last['refused_statements']} statements refused; in the end "
+            + ", ".join(f"{name} {state}" for name, state in sorted(last["peers"].items()))
+        )
     totals = {}
     for account in accounts:
         for actor, messages in account["actors"].items():
--- a/emberglade/failure_detection/__init__.py
+++ b/emberglade/failure_detection/__init__.py
@@ -3,7 +3,13 @@
 Nothing here proves that a task ended or that a worker's lease is over (docs/failure-detection.md).
 """
 
-from .bounds import DetectionBounds, DetectionError, detection_bounds, failure_domains
+from .bounds import (
+    DetectionBounds,
+    DetectionError,
+    describe_detection,
+    detection_bounds,
+    failure_domains,
+)
 from .domains import FailureDomains
 from .monitor import PeerMonitor
 from .takeover import LeadPlanner, ShardPlanner
@@ -17,6 +23,7 @@
     "LivenessView",
     "PeerMonitor",
     "ShardPlanner",
+    "describe_detection",
     "detection_bounds",
     "failure_domains",
 ]
--- a/emberglade/failure_detection/bounds.py
+++ b/emberglade/failure_detection/bounds.py
@@ -72,6 +72,18 @@
         raise DetectionError(field, value, f"is not from {least:g} to {most:g}")
 
 
+def describe_detection(settings, operators):
+    """One line for operators: whether it is on, and what its bounds are."""
+    if not operators.failure_detection:
+        return "failure detection: off, leased keys alone decide"
+    bounds = detection_bounds(settings, operators)
+    domains = sorted(set(failure_domains(settings, operators).domains.values()))
+    return (
+        f"failure detection: on, suspected after {bounds.suspect_s:g} s at the earliest, "
+        f"confirmed after {bounds.confirm_s:.3g} s; domains {', '.join(domains)}"
+    )
+
+
 def failure_domains(settings, operators):
     """The domains of all controllers; DetectionError if a network is wrong."""
     addresses = {peer.name: peer.address[0] for peer in settings.peers}
--- a/emberglade/failure_detection/monitor.py
+++ b/emberglade/failure_detection/monitor.py
@@ -68,6 +68,7 @@
         self.view: LivenessView | None = None
         self.claims_revision = -1  # of the last change of a node's key, a shard or the lead
         self.keys: set[str] = set()  # peers whose keys are there
+        self.moves: Counter[PeerState] = Counter()  # transitions to each state
         self.refused: Counter[str] = Counter()  # peer -> statements that were refused
         self.pinging: dict[str, list[Reply]] = {}  # peer -> probes that wait for its ping
         self.turn_due = 0.0
@@ -131,6 +132,7 @@
         result = self.detector.turn(now, max(0.0, now - self.turn_due))
         self.schedule_turn()
         for transition in result.transitions:
+            self.moves[transition.after] += 1
             log.info(
                 "%s is %s, was %s: %s",
                 transition.peer,
@@ -170,6 +172,16 @@
             return body
         return {**body, HEARTBEAT_FIELD: write_heartbeat(heartbeat)}
 
+    def account(self):
+        """What an account of the process says of its peers, since the process began."""
+        return {
+            "peers": {name: peer.state.value for name, peer in self.detector.peers.items()},
+            "suspicions": self.moves[PeerState.SUSPECTED],
+            "deaths": self.moves[PeerState.DEAD],
+            "refused_statements": sum(self.refused.values()),
+            "slow": self.detector.health.slow,
+        }
+
     # --- heartbeats on the exchange of statements
 
     def on_ask(self, peer, body, timeout, reply):
--- a/emberglade/main.py
+++ b/emberglade/main.py
@@ -77,6 +77,10 @@
             f"{options.config}: node {settings.node} in {settings.zone}, {settings.size} nodes, "
             f"{len(settings.teams)} teams: ok"
         )
+        if operators.failure_detection or options.operators:
+            from .failure_detection import describe_detection
+
+            print(f"{options.config}: {describe_detection(settings, operators)}")
         for warning in small_quota_warnings(settings):
             print(f"{options.config}: warning: {warning}")
         if options.operators:
--- a/tests/stand_ins/loopback.py
+++ b/tests/stand_ins/loopback.py
@@ -25,6 +25,32 @@
 HOST = "127.0.0.1"
 CHUNK_BYTES = 64 * 1024
 HELD_S = 0.05  # how often a forwarder looks whether its link is whole again
+PEER = """[[peers]]
+node_name = "{peer.name}"
+location = "{peer.zone}"
+endpoint = "{endpoint}"
+"""
+TEAM = """[[settings.teams]]
+name = "{team.name}"
+cpus_max = {team.cpus_max}
+"""
+PLATFORM = """node_name = "{settings.node}"
+location = "{settings.zone}"
+front = "127.0.0.1:{ports[0]}"
+internal_addr = "127.0.0.1:{ports[1]}"
+{peers}[endpoints]
+cloud = "{cloud}"
+state = "{state}"
+[settings]
+size = {settings.size}
+zones = {zones}
+workers = {{ report_s = {settings.report_s}, lease_s = {settings.lease_s}, \
+cancel_s = {settings.cancel_s} }}
+state = {{ rps = {settings.state_rps}, write_rps = {settings.state_write_rps}, \
+value_kb = {value_kb}, txn_ops = {settings.txn_ops} }}
+cloud = {{ rps = {settings.cloud_rps}, list_lag_s = {settings.list_lag_s} }}
+quota = {{ cpu = {settings.cpu}, mem_mb = {settings.mem_mb}, fd_limit = {settings.fd_limit} }}
+{teams}"""
 LIMITS = ServerLimits(256, 256, 30.0, 60.0)
 
 
@@ -199,49 +225,21 @@
     def settings_text(self, name):
         """The platform's file for a controller, whose links go through forwarders."""
         settings = self.settings(name)
-        lines = [
-            f'node_name = "{name}"',
-            f'location = "{settings.zone}"',
-            f'front = "{HOST}:{self.ports[name][0]}"',
-            f'internal_addr = "{HOST}:{self.ports[name][1]}"',
-        ]
-        for peer in settings.peers:
-            lines += [
-                "[[peers]]",
-                f'node_name = "{peer.name}"',
-                f'location = "{peer.zone}"',
-                f'endpoint = "{self.forward(name, peer.name, self.ports[peer.name][1])}"',
-            ]
-        state = self.forward(name, "state", self.world.serve("state", name))
-        lines += [
-            "[endpoints]",
-            f'cloud = "{HOST}:{self.world.serve("cloud", name)}"',
-            f'state = "{state}"',
-            "[settings]",
-            f"size = {settings.size}",
-            f"zones = {list(settings.zones)!r}",
-        ]
-        for team in settings.teams.values():
-            lines += ["[[settings.teams]]", f'name = "{team.name}"', f"cpus_max = {team.cpus_max}"]
-        lines += [
-            "[settings.workers]",
-            f"report_s = {settings.report_s}",
-            f"lease_s = {settings.lease_s}",
-            f"cancel_s = {settings.cancel_s}",
-            "[settings.state]",
-            f"rps = {settings.state_rps}",
-            f"write_rps = {settings.state_write_rps}",
-            f"value_kb = {settings.value_bytes / 1024}",
-            f"txn_ops = {settings.txn_ops}",
-            "[settings.cloud]",
-            f"rps = {settings.cloud_rps}",
-            f"list_lag_s = {settings.list_lag_s}",
-            "[settings.quota]",
-            f"cpu = {settings.cpu}",
-            f"mem_mb = {settings.mem_mb}",
-            f"fd_limit = {settings.fd_limit}",
-        ]
-        return "\n".join(lines) + "\n"
+        peers = "".join(
+            PEER.format(peer=peer, endpoint=self.forward(name, peer.name, self.ports[peer.name][1]))
+            for peer in settings.peers
+        )
+        teams = "".join(TEAM.format(team=team) for team in settings.teams.values())
+        return PLATFORM.format(
+            settings=settings,
+            ports=self.ports[name],
+            peers=peers,
+            teams=teams,
+            cloud=f"{HOST}:{self.world.serve('cloud', name)}",
+            state=self.forward(name, "state", self.world.serve("state", name)),
+            zones=list(settings.zones),
+            value_kb=settings.value_bytes / 1024,
+        )
 
     def forward(self, source, target, port):
         self.forwarders.append(Forwarder(self.world, source, target, port))
