--- a/emberglade/placement/demand.py
+++ b/emberglade/placement/demand.py
@@ -9,8 +9,8 @@
 
 def demand(jobs, spare, types, teams):
     """{(type, spot): fraction of machines, not rounded, so that nodes' parts can be summed}."""
-    counts = {}
-    used = {}
+    counts: dict[tuple, float] = {}
+    used: dict[str, list[float]] = {}
     rows = [
         (job.spec, job.spec.tasks - job.done_count())
         for job in sorted(jobs, key=lambda job: (job.spec.rank, job.spec.submitted))
@@ -50,7 +50,7 @@
 
     The counts above don't say where: with idle machines elsewhere no more would be rented, ever.
     """
-    counts = {}
+    counts: dict[tuple, float] = {}
     for job in jobs:
         spec, zone = job.spec, job.spec.zone
         waiting = min(job.waiting_count(), room.more_within_limit(spec))
--- a/emberglade/placement/headroom.py
+++ b/emberglade/placement/headroom.py
@@ -17,7 +17,7 @@
         if o.kind == "wait" and o.within_s is not None and o.within_s < boot_s
     }
     window = 4 * boot_s
-    found = {}
+    found: dict[tuple, tuple] = {}  # (class, image) -> (its latest job, tasks in the window)
     for job in jobs:
         spec = job.spec
         if spec.breed not in urgent:
--- a/emberglade/placement/preempt.py
+++ b/emberglade/placement/preempt.py
@@ -12,7 +12,8 @@
 
 def guaranteed(jobs, teams):
     """The jobs that fit into their team's guarantee together with the team's earlier ones."""
-    used, found = {}, set()
+    used: dict[str, list[float]] = {}
+    found = set()
     for job in sorted(jobs, key=lambda job: (job.spec.submitted, job.id)):
         spec = job.spec
         team = teams.get(spec.team)
@@ -115,7 +116,7 @@
     zones, known = room.zones_of(job)
     if not known and (spec.one_zone or spec.scatter):
         return False
-    freed = {}
+    freed: dict[str, list[float]] = {}
     for other, _, bound in victims:
         free = freed.setdefault(bound.machine, [0.0, 0.0, 0.0])
         for slot, amount in enumerate((other.spec.cpus, other.spec.gpus, other.spec.ram)):
@@ -150,7 +151,8 @@
     zones, known = room.zones_of(job)
     if not known and (spec.one_zone or spec.scatter):
         return None
-    best, stoppable = None, {}
+    best = None
+    stoppable: dict = {}
     for name, there in rows.items():
         if name not in placing_round.usable or not placing_round.allowed(spec, name):
             continue
--- a/emberglade/placement/room.py
+++ b/emberglade/placement/room.py
@@ -133,7 +133,8 @@
 
     def zones_of(self, job):
         """({zone: bound tasks}, whether every task's zone is known)."""
-        zones, known = {}, True
+        zones: dict[str, int] = {}
+        known = True
         for _, bound in job.bound():
             zone = self.zones.get(bound.machine)
             # A machine that is not known any more may be in any zone: the job has to wait for it
@@ -217,7 +218,7 @@
         if not known:
             return []
         free, fits = room.free, room.fits
-        found = []
+        found: list[str] = []
         fitting = self.fitting(spec)
         most = (spec.tasks + 1) // 2
         ordered = [name for _, name in sorted((self.score(spec, name), name) for name in fitting)]
--- a/emberglade/placement/types.py
+++ b/emberglade/placement/types.py
@@ -39,7 +39,7 @@
 
 def read_types(data):
     """{name: MachineType} of the catalog's key."""
-    return {row[0]: MachineType(*row[:9], tuple(row[9])) for row in data["types"]}
+    return {row[0]: MachineType(*row[:9], zones=tuple(row[9])) for row in data["types"]}
 
 
 def write_types(types):
--- a/emberglade/sizing/sizer.py
+++ b/emberglade/sizing/sizer.py
@@ -56,8 +56,8 @@
             rng,
         )
         self.weights = [1 / len(experts)] * len(experts)
-        self.history = deque(maxlen=max(self.round_s, *(e.lookback_s for e in experts)))
-        self.prices = deque(maxlen=self.round_s)
+        self.history: deque[int] = deque(maxlen=max(self.round_s, *(e.lookback_s for e in experts)))
+        self.prices: deque[float] = deque(maxlen=self.round_s)
         self.targets = []  # one row of targets per round, oldest first
 
     def record(self, demand, price):
@@ -67,7 +67,7 @@
 
     def expert_targets(self):
         history = list(self.history)
-        ordered = {}
+        ordered: dict[int, list[int]] = {}  # lookback -> its values, sorted
         row = []
         for expert in self.experts:
             values = ordered.get(expert.lookback_s)
--- a/emberglade/state/follower.py
+++ b/emberglade/state/follower.py
@@ -6,7 +6,8 @@
 class Follower(Actor):
     """Told `changed(events, revision, whole)` by the store; subclasses set `store`."""
 
-    incarnation = None
+    store: Actor
+    incarnation: int | None = None
     hears_contact = False  # whether it is told of every sync
 
     def on_begin(self):
--- a/emberglade/state/store.py
+++ b/emberglade/state/store.py
@@ -36,7 +36,7 @@
         self.sync_sent = float("-inf")
         self.sync_due = False
         self.sync_next = []
-        self.queue = (deque(), deque(), deque())
+        self.queue: tuple[deque, deque, deque] = (deque(), deque(), deque())
         self.flying = 0
         self.submission_favoured = float("-inf")  # when a submission was last sent
         self.pause_until = 0.0
@@ -55,7 +55,9 @@
         self.flight_cap = 6
         # What a peer that the state service refuses may still learn here. It asks every second or
         # so, and a lease's worth of changes at the full rate is far more than come in between.
-        self.recent = deque(maxlen=max(64, int(settings.state_write_rps * settings.lease_s)))
+        self.recent: deque[tuple] = deque(
+            maxlen=max(64, int(settings.state_write_rps * settings.lease_s))
+        )
         self.recent_after = -1  # `recent` holds all changes after this revision
 
     def on_begin(self):
@@ -199,7 +201,7 @@
             self.load("", [])
             return
         done = news is not None and self.revision >= 0
-        if done:
+        if news is not None and done:
             self.apply(*news)
             # Only this shows that the copy is in step; other answers may come while syncs fail.
             if sent > self.contact:
