--- a/emberglade/placement/types.py
+++ b/emberglade/placement/types.py
@@ -39,7 +39,14 @@
 
 def read_types(data):
     """{name: MachineType} of the catalog's key."""
-    return {row[0]: MachineType(*row[:9], zones=tuple(row[9])) for row in data["types"]}
+    return {row[0]: _read_type(row) for row in data["types"]}
+
+
+def _read_type(row):
+    name, cpus, gpus, ram, cache_gb, fetch_gb_per_s, price, spot_price, boot_s, zones = row
+    return MachineType(
+        name, cpus, gpus, ram, cache_gb, fetch_gb_per_s, price, spot_price, boot_s, tuple(zones)
+    )
 
 
 def write_types(types):
--- a/emberglade/state/store.py
+++ b/emberglade/state/store.py
@@ -200,8 +200,9 @@
             self.sync_next = waiting + self.sync_next
             self.load("", [])
             return
-        done = news is not None and self.revision >= 0
-        if news is not None and done:
+        done = False
+        if news is not None and self.revision >= 0:
+            done = True
             self.apply(*news)
             # Only this shows that the copy is in step; other answers may come while syncs fail.
             if sent > self.contact:
