Review: a machine that is gone answers nothing on connections that are still open

The stand-in's worker went on executing direct commands on a kept-alive connection after its machine had ended.

--- a/review/common/machines.py
+++ b/review/common/machines.py
@@ -182,7 +182,9 @@
 
     # --- commands
 
-    async def _handle(self, method: str, path: str, body: Any) -> tuple[int, Any]:
+    async def _handle(self, method: str, path: str, body: Any) -> tuple[int, Any] | None:
+        if self.gone:
+            return None  # also on a connection that was open before
         if path == "/status":
             return 200, self.report()
         if path != "/commands" or not isinstance(body, dict):
