--- a/review/common/http1.py
+++ b/review/common/http1.py
@@ -6,12 +6,19 @@
 from typing import Any
 
 LOOPBACK = "127.0.0.1"
+# PROTOCOL: the size of a request's body, and of a line in a response to a worker or user.
+MAX_BYTES = 64 * 1024
 # handler(method, path, body) -> (status, body), or None to leave the request without an answer
 Handler = Callable[[str, str, Any], Awaitable[tuple[int, Any] | None]]
 
 
-async def read_message(reader: asyncio.StreamReader) -> tuple[str, Any, bool]:
-    """Reads one message: (first line, JSON body or None, whether the sender closes)."""
+def encode(body: Any) -> bytes:
+    """A body as it is sent."""
+    return b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, bytes, bool]:
+    """Reads one message: (first line, body, whether the sender closes)."""
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
     length, close = 0, False
@@ -22,25 +29,39 @@
         elif name.lower() == "connection":
             close = value.strip().lower() == "close"
     raw = await reader.readexactly(length) if length else b""
+    return lines[0], raw, close
+
+
+def decode(raw: bytes) -> Any:
+    """The JSON value of a body, or None."""
     try:
-        body = json.loads(raw) if raw else None
+        return json.loads(raw) if raw else None
     except ValueError:
-        body = None
-    return lines[0], body, close
+        return None
+
 
+async def serve(
+    handler: Handler, port: int = 0, too_long: Callable[[int], None] | None = None
+) -> tuple[asyncio.Server, int]:
+    """Serves on loopback; returns the server and its port.
 
-async def serve(handler: Handler, port: int = 0) -> tuple[asyncio.Server, int]:
-    """Serves on loopback; returns the server and its port."""
+    With `too_long`, a request whose body exceeds MAX_BYTES gets 400, and its size is passed on.
+    """
 
     async def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while True:
-                line, body, close = await read_message(reader)
+                line, raw, close = await read_message(reader)
                 method, path, _ = line.split(" ", 2)
-                answer = await handler(method, path, body)
+                answer: tuple[int, Any] | None
+                if too_long is not None and len(raw) > MAX_BYTES:
+                    too_long(len(raw))
+                    answer = 400, {"error": "the body is too long"}
+                else:
+                    answer = await handler(method, path, decode(raw))
                 if answer is None:
                     return
-                payload = b"" if answer[1] is None else json.dumps(answer[1]).encode()
+                payload = encode(answer[1])
                 writer.write(
                     f"HTTP/1.1 {answer[0]} Status\r\nContent-Type: application/json\r\n"
                     f"Content-Length: {len(payload)}\r\n\r\n".encode()
@@ -59,10 +80,15 @@
 
 
 class Client:
-    """One kept-alive connection to an address; a call that fails closes it."""
+    """One kept-alive connection to an address; a call that fails closes it.
+
+    With `too_long`, an answer with a line above MAX_BYTES counts as none, and the line's size is
+    passed on.
+    """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, too_long: Callable[[int], None] | None = None) -> None:
         self.address = address
+        self._too_long = too_long
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     def close(self) -> None:
@@ -84,17 +110,21 @@
             host, _, port = self.address.rpartition(":")
             self._streams = await asyncio.open_connection(host, int(port), limit=2**20)
         reader, writer = self._streams
-        payload = b"" if body is None else json.dumps(body).encode()
+        payload = encode(body)
         writer.write(
             f"{method} {path} HTTP/1.1\r\nHost: {self.address}\r\n"
             f"Content-Type: application/json\r\nContent-Length: {len(payload)}\r\n\r\n".encode()
             + payload
         )
         await writer.drain()
-        line, answer, close = await read_message(reader)
+        line, raw, close = await read_message(reader)
+        longest = max(map(len, raw.split(b"\n")))
+        if self._too_long is not None and longest > MAX_BYTES:
+            self._too_long(longest)
+            raise ValueError(f"a line of {longest} bytes")
         if close:
             self.close()
-        return int(line.split(" ")[1]), answer
+        return int(line.split(" ")[1]), decode(raw)
 
 
 async def call_once(
--- a/review/common/machines.py
+++ b/review/common/machines.py
@@ -1,6 +1,7 @@
 """Stand-ins for the cloud and for the workers on its machines, as PROTOCOL-emberglade has them."""
 
 import asyncio
+import collections
 import random
 import time
 import urllib.parse
@@ -68,7 +69,9 @@
         await asyncio.sleep(delay_s)
         if self.gone:
             return
-        self.server, port = await http1.serve(self._handle)
+        self.server, port = await http1.serve(
+            self._handle, too_long=lambda size: self._too_long("a direct command", size)
+        )
         self.address = f"{http1.LOOPBACK}:{port}"
         self.up = True
         self.session_at = time.monotonic()
@@ -95,12 +98,14 @@
 
     def usage(self) -> tuple[float, float]:
         """(cpus, GB) that its tasks take."""
-        specs = [
-            self.fleet.specs[ember.rpartition("/")[0]]
-            for (ember, _), task in self.tasks.items()
-            if task.takes_room
-        ]
-        return sum(spec["cpus"] for spec in specs), sum(spec["ram_gb"] for spec in specs)
+        counts = collections.Counter(
+            ember.rpartition("/")[0] for (ember, _), task in self.tasks.items() if task.takes_room
+        )
+        rows = [(self.fleet.specs[job], count) for job, count in counts.items()]
+        return (
+            sum(spec["cpus"] * count for spec, count in rows),
+            sum(spec["ram_gb"] * count for spec, count in rows),
+        )
 
     # --- reports
 
@@ -135,8 +140,17 @@
             name = self.fleet.nodes[self.node]
             client = self.clients.get(name)
             if client is None:
-                client = self.clients[name] = http1.Client(self.fleet.fronts[name])
-            status, body = await client.call("POST", "/agent/beat", self.report(), ANSWER_TIMEOUT_S)
+                client = self.clients[name] = http1.Client(
+                    self.fleet.fronts[name], lambda size: self._too_long("an answer", size)
+                )
+            report = self.report()
+            size = len(http1.encode(report))
+            if size > http1.MAX_BYTES:
+                # PROTOCOL: a request body may hold at most 64 KiB, and a report names all tasks.
+                self.fleet.note(f"{self.name}: cannot report {len(self.tasks)} tasks, {size} bytes")
+                await asyncio.sleep(NEXT_NODE_S)
+                continue
+            status, body = await client.call("POST", "/agent/beat", report, ANSWER_TIMEOUT_S)
             pause_s = self.fleet.report_s * random.uniform(0.75, 1.25)
             if status == 200:
                 self._accept(body, sent_at, span)
@@ -152,6 +166,9 @@
             left = sent_at + MIN_CHANGE_GAP_S - time.monotonic()
             await asyncio.sleep(max(0.0, left))
 
+    def _too_long(self, what: str, size: int) -> None:
+        self.fleet.broken("too_long", f"{self.name} gets {what} of {size} bytes in one line")
+
     def _next_node(self, name: str, status: int, body: Any) -> float:
         """Chooses the node for the next report; returns the seconds until then."""
         target = body.get("firekeeper") if status == 421 and isinstance(body, dict) else None
@@ -316,6 +333,7 @@
         self.completed: set[str] = set()
         self.places: dict[str, set[str]] = {}
         self.starts: dict[str, int] = {}
+        self.on_machines: collections.Counter[str] = collections.Counter()  # tasks by job
         self.limits: dict[str, float] = {}  # {team: its limit of CPUs}
         self.run_s: Callable[[str], float] = lambda ember: 10.0
         self.listings: list[tuple[float, list[dict[str, Any]]]] = []
@@ -348,22 +366,22 @@
         if places:
             self.broken("ran_twice", f"{ember} begins on {worker.name} while on {sorted(places)}")
         places.add(worker.name)
+        self.on_machines[spec["id"]] += 1
         limit = self.limits.get(spec["crew"], 0)
         if limit and used > limit + 1e-6:
             self.broken("quota", f"{spec['crew']} uses {used:g} CPUs, its limit is {limit:g}")
 
     def left(self, ember: str, worker: Worker, why: str) -> None:
         """A task is no longer on its machine."""
-        self.places.get(ember, set()).discard(worker.name)
+        if worker.name in self.places.get(ember, ()):
+            self.places[ember].discard(worker.name)
+            self.on_machines[ember.rpartition("/")[0]] -= 1
         self.note(f"{worker.name}: {ember} leaves: {why}")
 
     def team_cpus(self, team: str) -> float:
         """The CPUs of a team's tasks that are on machines."""
-        return sum(
-            self.specs[ember.rpartition("/")[0]]["cpus"] * len(places)
-            for ember, places in self.places.items()
-            if places and self.specs[ember.rpartition("/")[0]]["crew"] == team
-        )
+        rows = [(self.specs[job], count) for job, count in self.on_machines.items() if count]
+        return sum(spec["cpus"] * count for spec, count in rows if spec["crew"] == team)
 
     # --- the cloud's interface
 
