--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -93,7 +93,7 @@
         self.background: list[asyncio.Task] = []
         state = site["state"]
         self.state = StateService(
-            state["rps"], state["write_rps"], state["value_kb"], state["txn_ops"]
+            state["rps"], state["write_rps"], state["value_kb"], state["txn_ops"], self.note
         )
         timing = {**site["workers"], "list_lag_s": site["cloud"]["list_lag_s"]}
         self.fleet = Fleet(site["kind"], timing, self.note, self.record.broken)
--- a/review/common/state.py
+++ b/review/common/state.py
@@ -1,16 +1,15 @@
 """A stand-in for the state service, as PROTOCOL-emberglade describes it."""
 
 import asyncio
-import json
 import time
 import urllib.parse
+from collections.abc import Callable
 from typing import Any
 
 from . import http1
 
 KEPT_CHANGES = 10_000
 LATENCY_S = 0.006
-MAX_BODY = 64 * 1024
 MAX_ROWS = 1000
 MAX_PAGE_BYTES = 512 * 1024
 
@@ -41,7 +40,15 @@
         last_writer: {key: the controller that wrote it last}.
     """
 
-    def __init__(self, rps: float, write_rps: float, value_kb: float, txn_ops: int) -> None:
+    def __init__(
+        self,
+        rps: float,
+        write_rps: float,
+        value_kb: float,
+        txn_ops: int,
+        note: Callable[[str], None],
+    ) -> None:
+        self.note = note
         self.requests, self.writes = Bucket(rps), Bucket(write_rps)
         self.value_bytes, self.txn_ops = int(value_kb * 1024), txn_ops
         self.keys: dict[str, tuple[Any, int, int | None]] = {}
@@ -102,7 +109,7 @@
         size = 0
         for name in names[:limit]:
             row = {"key": name, "data": self.keys[name][0], "stamp": self.keys[name][1]}
-            size += len(json.dumps(row))
+            size += len(http1.encode(row))
             if rows and size > MAX_PAGE_BYTES:
                 break
             rows.append(row)
@@ -114,9 +121,10 @@
         if (
             len(writes) > self.txn_ops
             or len(when) > 4 * self.txn_ops
-            or len(json.dumps(body)) > MAX_BODY
-            or any(len(json.dumps(row.get("data"))) > self.value_bytes for row in writes)
+            or len(http1.encode(body)) > http1.MAX_BYTES
+            or any(len(http1.encode(row.get("data"))) > self.value_bytes for row in writes)
         ):
+            self.note(f"{source}: a transaction of {len(http1.encode(body))} bytes gets 400")
             return 400, {"error": "too large"}
         if not self.writes.take(len(writes)):
             return 429, {}
