State: a rejected transaction is logged with its sizes

The log named the first keys of a rejected commit only, so it could not tell apart what the state service limits: the total size, the number of writes or conditions, the size of one value. Change: on a 400 (other than an expired lease) Store logs, for every sender, the bytes of the body, the writes, the conditions and the largest value. No behaviour changes.

--- a/emberglade/state/store.py
+++ b/emberglade/state/store.py
@@ -8,11 +8,12 @@
 
 import logging
 from collections.abc import Callable, Iterable, Sequence
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 from ..actors import Actor, send, send_after
 from ..transport import NO_ANSWER
-from . import wire
+from . import transaction_size, wire
 from .full_read import FullRead
 from .read_barrier import CHANGES_TOO_OLD, ReadBarrier, sync_interval_s
 from .replica import Replica
@@ -159,17 +160,21 @@
     def on_commit(
         self,
         priority: Priority,
-        conditions: Iterable[tuple[str, int]],
+        conditions: Sequence[wire.Condition],
         writes: Sequence[wire.Body],
         reply: CommitReply,
     ) -> None:
         """Handles `commit(priority, conditions, writes, reply)`: one compare-and-swap transaction.
 
-        Keys include their prefix; conditions are `(key, mod_revision)`.
+        Keys include their prefix.
         """
 
         def answer(status: int, body: Any) -> None:
-            reply(status, wire.revision(body), wire.failure(body))
+            failure = wire.failure(body)
+            if status == HTTPStatus.BAD_REQUEST and failure != wire.NO_SUCH_LEASE:
+                size = transaction_size.measure(conditions, writes)
+                log.error("the state service rejected a transaction (%s): %s", failure, size)
+            reply(status, wire.revision(body), failure)
 
         body = wire.compare_and_swap(conditions, writes)
         self.requests.send(
--- a/emberglade/state/wire.py
+++ b/emberglade/state/wire.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
+import orjson
+
 LIVE_PREFIX = "eg/l/"  # keys that every controller follows
 FINAL_PREFIX = "eg/o/"  # final states of jobs: read one at a time, not in the replica
 
@@ -16,6 +18,7 @@
 NO_SUCH_LEASE = "no such lease"  # the error of a transaction that uses an expired lease
 
 Body = Mapping[str, Any]  # a JSON object
+Condition = tuple[str, int]  # (key, the mod revision that it must have; 0: it must not exist)
 
 
 class KeyValue(NamedTuple):
@@ -99,14 +102,13 @@
     return {"remove": key}
 
 
-def compare_and_swap(
-    conditions: Iterable[tuple[str, int]], writes: Sequence[Body]
-) -> dict[str, Any]:
-    """The body of a transaction that executes `writes` if all `conditions` are met.
+def value_bytes(write: Body) -> int:
+    """The size of the value that a write sets, in bytes; 0 if it removes a key."""
+    return len(orjson.dumps(write["data"])) if "data" in write else 0
 
-    A condition `(key, mod_revision)` is met if the key has that mod revision; 0 means that the key
-    must not exist.
-    """
+
+def compare_and_swap(conditions: Iterable[Condition], writes: Sequence[Body]) -> dict[str, Any]:
+    """The body of a transaction that executes `writes` if all `conditions` are met."""
     return {
         "when": [{"key": key, "stamp": mod_revision} for key, mod_revision in conditions],
         "writes": writes,
