Jobs: a commit of records is bounded by its measured size

Cause: Transaction.has_space counted 400 bytes a record, though a record holds the job's description and may be as large as a value.

Change: state/transaction_builder.py assembles a transaction from parts (conditions and writes that belong together) and measures each encoded part; Transaction uses it and estimates nothing. A part that doesn't fit waits for the next commit. The first one always fits, since values are bounded. CONDITIONS_PER_WRITE moves there from membership/format.py.

--- a/emberglade/jobs/commits.py
+++ b/emberglade/jobs/commits.py
@@ -125,7 +125,7 @@
         send(
             self._store.on_commit,
             DECISIONS,
-            list(transaction.conditions.items()),
+            transaction.conditions,
             transaction.writes,
             callback(self.on_flushed, transaction.finished_jobs),
         )
@@ -144,16 +144,18 @@
             if finished and wire.is_chunk_key(key):
                 self.pending.discard(key)  # the final state replaces the chunks
                 continue
-            if not transaction.has_space(finished):
+            if not self._add_to(transaction, key, job, finished):
                 break
-            shard, epoch = self._owners.shard_of(job.spec), self._owners.epoch_condition(job.spec)
-            if finished:
-                transaction.add_final_state(job, shard, epoch)
-            else:
-                transaction.add_record(key, job, shard, epoch)
             self.pending.discard(key)
         return transaction
 
+    def _add_to(self, transaction: Transaction, key: str, job: Job, finished: bool) -> bool:
+        """Adds a record, or the final state of a finished job; returns whether it fits."""
+        shard, epoch = self._owners.shard_of(job.spec), self._owners.epoch_condition(job.spec)
+        if finished:
+            return transaction.add_final_state(job, shard, epoch)
+        return transaction.add_record(key, job, shard, epoch)
+
     def on_flushed(
         self, finished_jobs: list[FinishedJob], status: int, revision: int | None, failed: Any
     ) -> None:
--- a/emberglade/jobs/transaction.py
+++ b/emberglade/jobs/transaction.py
@@ -5,22 +5,12 @@
 
 from ..state import FINAL_PREFIX, LIVE_PREFIX, Change
 from ..state import wire as state_wire
+from ..state.transaction_builder import TransactionBuilder
 from . import wire
 from .chunk import Chunk
 from .job import Job
 from .wire import Outcome
 
-Condition = tuple[str, int]  # (full key, its mod revision)
-
-# PROTOCOL allows 64 KiB per transaction. Sizes of records are estimated, because measuring them
-# would take an additional encoding.
-MAX_TRANSACTION_BYTES = 40_000
-RECORD_ESTIMATE_BYTES = 400
-BINDING_ESTIMATE_BYTES = 48
-
-WRITES_PER_RECORD = 1
-WRITES_PER_FINISHED_JOB = 2  # the final key is written, the job's own key is removed
-
 
 class FinishedJob(NamedTuple):
     """A job whose final state a transaction writes."""
@@ -65,57 +55,70 @@
     """Writes of several jobs' records, conditional on their shards' epochs.
 
     Attributes:
-        conditions: full key -> the mod revision that it must have.
-        writes: The changes, in the format of the store's commits.
         chunks: key -> the Chunk that is written to it.
         shards: The shards whose epochs the transaction is conditional on.
         finished_jobs: The jobs whose final states are written.
     """
 
     def __init__(self, max_writes: int) -> None:
-        self._max_writes = max_writes
-        self._bytes = 0
-        self.conditions: dict[str, int] = {}
-        self.writes: list[dict[str, Any]] = []
+        self._builder = TransactionBuilder(max_writes)
         self.chunks: dict[str, Chunk] = {}
         self.shards: set[int] = set()
         self.finished_jobs: list[FinishedJob] = []
 
-    def has_space(self, finishes_job: bool) -> bool:
-        """Whether one more record or final state fits; the first one always does."""
-        more = WRITES_PER_FINISHED_JOB if finishes_job else WRITES_PER_RECORD
-        return not self.writes or (
-            len(self.writes) + more <= self._max_writes and self._bytes <= MAX_TRANSACTION_BYTES
-        )
+    @property
+    def conditions(self) -> list[state_wire.Condition]:
+        """The conditions of the transaction."""
+        return list(self._builder.conditions.items())
 
-    def add_record(self, key: str, job: Job, shard: int, epoch: Condition) -> None:
-        """Adds the write of a job's own key, or of the key of a chunk other than the first."""
+    @property
+    def writes(self) -> list[dict[str, Any]]:
+        """The changes, in the format of the store's commits."""
+        return self._builder.writes
+
+    def add_record(self, key: str, job: Job, shard: int, epoch: state_wire.Condition) -> bool:
+        """Adds the write of a job's own key, or of the key of a chunk other than the first.
+
+        Returns whether it fits; the first record always does.
+        """
         chunk = chunk_at(job, key)
-        self._add_conditions(key, chunk, shard, epoch)
         own_key = wire.is_job_key(key)
         record = wire.job_record(job) if own_key else wire.chunk_record(chunk)
-        self.writes.append(state_wire.put(LIVE_PREFIX + key, record))
-        self._bytes += RECORD_ESTIMATE_BYTES + BINDING_ESTIMATE_BYTES * len(chunk.bindings)
+        writes = [state_wire.put(LIVE_PREFIX + key, record)]
+        return self._add(key, chunk, shard, epoch, writes)
 
-    def add_final_state(self, job: Job, shard: int, epoch: Condition) -> None:
+    def add_final_state(self, job: Job, shard: int, epoch: state_wire.Condition) -> bool:
         """Adds the end of a job: its final state is written, and its own key is removed.
 
-        The final state is kept because users may poll or retry at any later time.
+        The final state is kept because users may poll or retry at any later time. Returns whether
+        it fits; the first one always does.
         """
         key = wire.job_key(job.id)
-        self._add_conditions(key, job.chunk_of(0), shard, epoch)
         outcome = Outcome.CANCELLED if job.cancelled else Outcome.DONE
         final = wire.final_record(outcome, job.spec.tasks, job.done_count())
-        self.writes.append(state_wire.put(FINAL_PREFIX + wire.final_key(job.id), final))
-        self.writes.append(state_wire.remove(LIVE_PREFIX + key))
+        writes = [
+            state_wire.put(FINAL_PREFIX + wire.final_key(job.id), final),
+            state_wire.remove(LIVE_PREFIX + key),
+        ]
+        if not self._add(key, job.chunk_of(0), shard, epoch, writes):
+            return False
         self.finished_jobs.append(FinishedJob(job.id, outcome))
+        return True
 
-    def _add_conditions(self, key: str, chunk: Chunk, shard: int, epoch: Condition) -> None:
-        epoch_key, epoch_revision = epoch
-        self.conditions[epoch_key] = epoch_revision
-        self.conditions[LIVE_PREFIX + key] = chunk.mod_revision
+    def _add(
+        self,
+        key: str,
+        chunk: Chunk,
+        shard: int,
+        epoch: state_wire.Condition,
+        writes: list[dict[str, Any]],
+    ) -> bool:
+        conditions = [epoch, (LIVE_PREFIX + key, chunk.mod_revision)]
+        if not self._builder.add(conditions, writes):
+            return False
         self.chunks[key] = chunk
         self.shards.add(shard)
+        return True
 
     def in_flight(self) -> CommitInFlight:
         """The state to keep until the outcome of this transaction is known."""
--- a/emberglade/membership/format.py
+++ b/emberglade/membership/format.py
@@ -18,6 +18,7 @@
 from ..actors import callback, send, send_after
 from ..state import LIVE_PREFIX, Change, Priority, ReplicaSubscriber, Store
 from ..state import wire as state_wire
+from ..state.transaction_builder import CONDITIONS_PER_WRITE
 from . import wire
 from .wire import FORMAT_KEY
 
@@ -28,7 +29,6 @@
 
 NEW_FORMAT = 2  # adds jobs with dependencies, and changes the layout of a job's parts
 TICK_S = 0.5
-CONDITIONS_PER_WRITE = 4  # ratio of a transaction's limit on conditions to that on writes
 
 
 class RecordError(ValueError):
--- /dev/null
+++ b/emberglade/state/transaction_builder.py
@@ -0,0 +1,64 @@
+"""Assembles transactions that keep to the limits of the state service."""
+
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import orjson
+
+from . import wire
+
+# PROTOCOL allows 64 KiB in total. The reserve is for a state service that counts more than the
+# bytes of the request, for example blanks between them.
+MAX_TRANSACTION_BYTES = 60 * 1024
+CONDITIONS_PER_WRITE = 4  # conditions allowed in a transaction, as a multiple of its writes
+
+FRAME_BYTES = len(orjson.dumps(wire.compare_and_swap([], [])))
+SEPARATOR_BYTES = 1  # the comma after a condition or write
+
+
+class TransactionBuilder:
+    """A transaction that grows by parts: conditions and writes that belong together.
+
+    Sizes are those of the encoded parts, not estimates: a value may be almost empty, or as large
+    as the state service allows.
+
+    Attributes:
+        conditions: Key with its prefix -> the mod revision that it must have.
+        writes: The changes, in the format of the store's commits.
+        total_bytes: Upper bound of the size of the request's body.
+    """
+
+    def __init__(self, max_writes: int) -> None:
+        """Starts with an empty transaction that may hold `max_writes` writes."""
+        self._max_writes = max_writes
+        self._max_conditions = CONDITIONS_PER_WRITE * max_writes
+        self.conditions: dict[str, int] = {}
+        self.writes: list[dict[str, Any]] = []
+        self.total_bytes = FRAME_BYTES
+
+    def add(self, conditions: Iterable[wire.Condition], writes: Sequence[dict[str, Any]]) -> bool:
+        """Adds a part, and returns whether it fits.
+
+        The first part always fits, so that no part waits for ever: the limit on values bounds it.
+        """
+        new = {key: stamp for key, stamp in conditions if key not in self.conditions}
+        part_bytes = sum(map(_encoded_bytes, wire.write_conditions(new.items())))
+        part_bytes += sum(map(_encoded_bytes, writes))
+        if self.writes and not self._has_space(len(new), len(writes), part_bytes):
+            return False
+        self.conditions.update(new)
+        self.writes += writes
+        self.total_bytes += part_bytes
+        return True
+
+    def _has_space(self, conditions: int, writes: int, part_bytes: int) -> bool:
+        return (
+            len(self.conditions) + conditions <= self._max_conditions
+            and len(self.writes) + writes <= self._max_writes
+            and self.total_bytes + part_bytes <= MAX_TRANSACTION_BYTES
+        )
+
+
+def _encoded_bytes(element: wire.Body) -> int:
+    """The size of a condition or write in the request, in bytes."""
+    return len(orjson.dumps(element)) + SEPARATOR_BYTES
--- a/emberglade/state/wire.py
+++ b/emberglade/state/wire.py
@@ -109,10 +109,12 @@
 
 def compare_and_swap(conditions: Iterable[Condition], writes: Sequence[Body]) -> dict[str, Any]:
     """The body of a transaction that executes `writes` if all `conditions` are met."""
-    return {
-        "when": [{"key": key, "stamp": mod_revision} for key, mod_revision in conditions],
-        "writes": writes,
-    }
+    return {"when": write_conditions(conditions), "writes": writes}
+
+
+def write_conditions(conditions: Iterable[Condition]) -> list[dict[str, Any]]:
+    """Encodes the conditions of a transaction."""
+    return [{"key": key, "stamp": mod_revision} for key, mod_revision in conditions]
 
 
 def failure(body: Any) -> Any:
--- a/tests/scenario_kinds/cluster_users.py
+++ b/tests/scenario_kinds/cluster_users.py
@@ -4,6 +4,7 @@
 
 import orjson
 from stand_ins import wire
+from stand_ins.cloud import MachineType
 from stand_ins.submissions import Submission
 
 from .arguments import parse_arguments
@@ -18,8 +19,15 @@
 
 
 def make_job(job_id: str, arguments: tuple[str, ...]) -> Submission:
-    """Builds a job from fields of Submission; `run_s` stands for `estimated_run_s`."""
+    """Builds a job from fields of Submission.
+
+    `run_s` stands for `estimated_run_s`. `unknown_types` is how many machine types that the cloud
+    does not have the job allows besides the one that it has: they make its description long.
+    """
     fields: dict[str, Any] = parse_arguments(arguments)[1]
+    if "unknown_types" in fields:
+        unknown = [f"unknown-{number:04}" for number in range(fields.pop("unknown_types"))]
+        fields["allowed_types"] = [MachineType().label, *unknown]
     if "run_s" in fields:
         fields["estimated_run_s"] = fields.pop("run_s")
     if "needs" in fields:
