Tests: every scenario fails on a transaction above 64 KiB

Change: the total size is checked with the other limits of the state service: beyond it the run fails, or, once the limits were lowered, the transaction is refused and recorded. Stricter than before; `expect no_transaction_too_large` now covers every refusal for size.

--- a/tests/scenario_kinds/expect_state_service.py
+++ b/tests/scenario_kinds/expect_state_service.py
@@ -38,8 +38,8 @@
         assert self.refused_sizes()
 
     def expect_no_transaction_too_large(self) -> None:
-        """No transaction was refused for its total size."""
-        assert not self.state.refused_transactions
+        """No transaction was refused for its size, not even after the limits were lowered."""
+        assert not self.state.refused_sizes, self.state.refused_sizes[:3]
 
     def expect_largest_value_at_least(self, kind: str, minimum: str) -> None:
         """The largest value of this kind of keys reached this size, so limits were exercised."""
--- a/tests/stand_ins/state_service.py
+++ b/tests/stand_ins/state_service.py
@@ -45,10 +45,9 @@
         late_applied: The number of late transactions that changed a key.
         malformed_chance: The probability of a malformed answer.
         limits_lowered: Whether the limits were lowered. Until then a transaction that exceeds them
-            fails the run; afterwards such a transaction is refused.
+            or TRANSACTION_BYTES fails the run; afterwards such a transaction is refused.
         refused_sizes: (controller, reason) of each transaction refused since the limits were
             lowered.
-        refused_transactions: The number of transactions refused for exceeding TRANSACTION_BYTES.
         largest_value: The size of the largest value written, by key kind (`eg/l/m`).
         write_counts: The number of puts and removals, by key kind (`eg/l/m`).
         lease_count: The number of leases granted so far.
@@ -84,7 +83,6 @@
         self.malformed_chance = 0.0
         self.limits_lowered = False
         self.refused_sizes: list[tuple[str, str]] = []
-        self.refused_transactions = 0
         self.largest_value: dict[str, int] = {}
         self.write_counts: dict[str, int] = {}
         self.audits: list[Audit] = []
@@ -218,9 +216,6 @@
         if limit_violation is not None:
             self.refused_sizes.append((source, limit_violation))
             return 400, {"error": "too large"}
-        if transaction.size_bytes() > TRANSACTION_BYTES:
-            self.refused_transactions += 1
-            return 400, {"error": "the transaction is too large"}
         writes = transaction.writes
         if not self.write_bucket.take(len(writes), self.write_rate, self.world.now):
             return 429, {}
@@ -249,6 +244,9 @@
             or len(transaction.conditions) > CONDITIONS_PER_WRITE * self.transaction_writes
         ):
             return "too many writes or conditions in a transaction"
+        total = transaction.size_bytes()
+        if total > TRANSACTION_BYTES:
+            return f"a transaction of {total} bytes, {len(transaction.writes)} writes"
         for write in transaction.writes:
             size = len(orjson.dumps(write.data))
             if size > self.value_bytes:
