Dependencies: a release of waiting jobs is bounded by its measured size

What callers saw: none of 24 jobs with long descriptions that await the same job is ever released, and neither is any other job of that owner.

DependencyRelease batched txn_ops / 2 records without regard to their size; the transaction got 400 and was sent again unchanged with every heartbeat.

Evidence (scenario on the old code, with a stand-in that refuses instead of failing the run): 182,516 bytes in total, 24 writes, 13 conditions, the largest value 15,109 bytes, of 65,536, 24, 96 and 16,384 allowed; job-d0 had not begun after 60 s.

Change: the batch is assembled by TransactionBuilder; jobs that don't fit go with the next one.

Result: tests/scenarios/dependencies/long_descriptions.txt failed before and passes; all of dependencies/ passes (30).

--- a/emberglade/jobs/dependency_release.py
+++ b/emberglade/jobs/dependency_release.py
@@ -6,13 +6,14 @@
 """
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any
 
 from ..actors import ActorPart, callback, send, send_after
 from ..state import FINAL_PREFIX, LIVE_PREFIX
 from ..state import wire as state_wire
 from ..state.store import DECISIONS
+from ..state.transaction_builder import TransactionBuilder
 from . import wire
 from .commits import NOT_EXECUTED
 from .job import Job
@@ -26,7 +27,6 @@
 
 log = logging.getLogger("emberglade.jobs")
 
-WRITES_PER_JOB = 2  # the new key is written, the waiting job's key is removed
 MAX_CONCURRENT_READS = 16  # final keys of dependencies that are read at the same time
 
 
@@ -92,30 +92,42 @@
             self._owned(graph.ready),
             key=lambda job_id: (graph.urgency.of_waiting(job_id).priority, job_id),
         )
-        limit = max(1, self._budget.max_writes // WRITES_PER_JOB)
-        releases = ready[:limit]
-        cancelled = sorted(self._owned(graph.cancelled))[: limit - len(releases)]
-        if not releases and not cancelled:
-            return
-        conditions, writes = set(), []
-        for job_id in releases + cancelled:
-            job = graph.waiting[job_id]
-            conditions.add(self._owners.epoch_condition(job.spec))
-            conditions.add((LIVE_PREFIX + wire.waiting_key(job_id), job.mod_revision))
-            writes.append(
-                self._live_job_write(job) if job_id in graph.ready else self._final_state_write(job)
+        transaction = TransactionBuilder(self._budget.max_writes)
+        releases = self._add_while_fitting(transaction, ready, self._live_job_write)
+        cancelled: list[str] = []
+        if len(releases) == len(ready):
+            cancelled = self._add_while_fitting(
+                transaction, sorted(self._owned(graph.cancelled)), self._final_state_write
             )
-            writes.append(state_wire.remove(LIVE_PREFIX + wire.waiting_key(job_id)))
+        if not transaction.writes:
+            return
         self._transaction_in_flight = True
-        self._budget.count_writes(self.now(), len(writes))
+        self._budget.count_writes(self.now(), len(transaction.writes))
         send(
             self._store.on_commit,
             DECISIONS,
-            sorted(conditions),
-            writes,
+            list(transaction.conditions.items()),
+            transaction.writes,
             callback(self.on_committed, releases, cancelled),
         )
 
+    def _add_while_fitting(
+        self,
+        transaction: TransactionBuilder,
+        job_ids: list[str],
+        write: Callable[[WaitingJob], dict[str, Any]],
+    ) -> list[str]:
+        """Replaces the records of waiting jobs by `write`; returns the jobs that fitted."""
+        added = []
+        for job_id in job_ids:
+            job = self._graph.waiting[job_id]
+            key = LIVE_PREFIX + wire.waiting_key(job_id)
+            conditions = [self._owners.epoch_condition(job.spec), (key, job.mod_revision)]
+            if not transaction.add(conditions, [write(job), state_wire.remove(key)]):
+                break
+            added.append(job_id)
+        return added
+
     def _live_job_write(self, job: WaitingJob) -> dict[str, Any]:
         """The write that makes a waiting job live."""
         spec = released_spec(job.spec, self.system.wall_time())
