Rechunking: a batch of new chunks is bounded by its measured size

What callers saw: after the state service's limits fall, a job of several thousand running tasks is never rechunked, and until then nothing of it is written: its tasks' exits don't count and it is never done.

Rechunking wrote as many chunks at once as the limit on writes allows, without regard to their size; after the 400 it began anew with another generation.

Evidence (scenario on the old code, with a stand-in that refuses instead of failing the run): 78,050 bytes in total, 24 writes, 25 conditions, the largest value 3,207 bytes, of 65,536, 24, 96 and 8,192 allowed, again and again; the record kept 256 tasks per chunk.

Change: the batch is assembled by TransactionBuilder.

--- a/emberglade/jobs/rechunking.py
+++ b/emberglade/jobs/rechunking.py
@@ -16,6 +16,7 @@
 from ..state import LIVE_PREFIX
 from ..state import wire as state_wire
 from ..state.store import DECISIONS
+from ..state.transaction_builder import TransactionBuilder
 from ..transport import status_text
 from . import wire
 from .chunk import Chunk
@@ -142,14 +143,18 @@
         if not operation.chunks:
             self._switch(job, operation)
             return
-        batch = operation.chunks[: self._budget.max_writes]
         epoch = self._owners.epoch_condition(job.stored_spec)
+        transaction = TransactionBuilder(self._budget.max_writes)
+        for key, record in operation.chunks:
+            full_key = LIVE_PREFIX + key
+            if not transaction.add([epoch, (full_key, 0)], [state_wire.put(full_key, record)]):
+                break
         send(
             self._store.on_commit,
             DECISIONS,
-            [epoch, *((LIVE_PREFIX + key, 0) for key, _ in batch)],
-            [state_wire.put(LIVE_PREFIX + key, record) for key, record in batch],
-            callback(self.on_chunks_written, operation, len(batch)),
+            list(transaction.conditions.items()),
+            transaction.writes,
+            callback(self.on_chunks_written, operation, len(transaction.writes)),
         )
 
     def on_chunks_written(
--- a/tests/scenario_kinds/expect_state_service.py
+++ b/tests/scenario_kinds/expect_state_service.py
@@ -1,6 +1,12 @@
 """Expectations of whole-cluster scenarios on the state service and its keys."""
 
-from stand_ins.state_wire import FORMAT_KEY, LIVE_PREFIX
+from stand_ins.state_wire import (
+    FORMAT_KEY,
+    LIVE_PREFIX,
+    chunk_size,
+    is_rechunked,
+    job_key,
+)
 
 from .scenario_run import ScenarioRun
 
@@ -48,6 +54,12 @@
 
     # --- keys
 
+    def expect_rechunked(self, job_id: str, tasks_per_chunk: str) -> None:
+        """The stored record of the job has chunks of a new generation, with this many tasks."""
+        record = self.state.keys[job_key(job_id)].data
+        assert is_rechunked(record), chunk_size(record)
+        assert chunk_size(record) == int(tasks_per_chunk), chunk_size(record)
+
     def expect_writes_at_least(self, kind: str, minimum: str) -> None:
         """At least this many keys of this kind were written, so such writes were exercised."""
         counts = self.state.write_counts
--- a/tests/stand_ins/state_wire.py
+++ b/tests/stand_ins/state_wire.py
@@ -143,6 +143,21 @@
     return data["node"]
 
 
+def job_key(job_id: str) -> str:
+    """The key of a live job."""
+    return f"{LIVE_PREFIX}j/{job_id}"
+
+
+def chunk_size(data: dict[str, Any]) -> int:
+    """Reads the number of tasks per chunk from a job's record."""
+    return data["z"]
+
+
+def is_rechunked(data: dict[str, Any]) -> bool:
+    """Whether a job's record refers to chunks of another generation than the first."""
+    return bool(data.get("g"))
+
+
 def is_cancelled(data: dict[str, Any]) -> bool:
     """Whether a job's record marks the job as cancelled."""
     return bool(data.get("w"))
