Garbage collection: a removal of chunks is bounded by its measured size

What callers saw: nothing; the chunks of finished jobs stay in the state service for good, and the owner asks for their removal in vain with every tick, which uses up its share of the request rate.

As many chunks were removed at once as the limit on writes allows; each takes a removal and a condition, some 75 bytes, so 840 or more exceed 64 KiB.

Evidence (scenario on the old code): a transaction of 77,765 bytes with 999 writes.

Change: the removal is assembled by TransactionBuilder; the rest follows with the next one.

--- a/emberglade/jobs/garbage_collection.py
+++ b/emberglade/jobs/garbage_collection.py
@@ -10,6 +10,7 @@
 from ..state import LIVE_PREFIX
 from ..state import wire as state_wire
 from ..state.store import DECISIONS
+from ..state.transaction_builder import TransactionBuilder
 from . import wire
 from .job import Job
 from .scheduling_view import SchedulingView
@@ -47,31 +48,44 @@
         self._garbage.pop(key, None)
 
     def collect(self) -> None:
-        """Removes marked chunks that are unused, as many as one commit may write."""
-        keys = list(self._garbage)[: self._budget.max_writes]
-        candidates = {key: self._garbage.pop(key) for key in keys}
-        unused = {key: revision for key, revision in candidates.items() if self._is_unused(key)}
-        if not unused:
+        """Removes marked chunks that are unused, as many as one commit may hold."""
+        transaction = TransactionBuilder(self._budget.max_writes)
+        removed: dict[str, int] = {}
+        for key in list(self._garbage)[: self._budget.max_writes]:
+            if not self._is_unused(key):
+                del self._garbage[key]
+            elif self._add_removal(transaction, key):
+                removed[key] = self._garbage.pop(key)
+            else:
+                break
+        if not removed:
             return
-        removal_conditions = {self._removal_condition(wire.job_id_of(key)) for key in unused}
-        conditions = [(LIVE_PREFIX + key, revision) for key, revision in unused.items()]
         send(
             self._store.on_commit,
             DECISIONS,
-            conditions + sorted(removal_conditions),
-            [state_wire.remove(LIVE_PREFIX + key) for key in unused],
-            callback(self.on_collected, unused),
+            list(transaction.conditions.items()),
+            transaction.writes,
+            callback(self.on_collected, removed),
         )
 
+    def _add_removal(self, transaction: TransactionBuilder, key: str) -> bool:
+        """Adds the removal of an unused chunk to a transaction; returns whether it fits."""
+        full_key = LIVE_PREFIX + key
+        conditions = [
+            self._removal_condition(wire.job_id_of(key)),
+            (full_key, self._garbage[key]),
+        ]
+        return transaction.add(conditions, [state_wire.remove(full_key)])
+
     def on_collected(
-        self, unused: dict[str, int], status: int, revision: int | None, failed: Any
+        self, removed: dict[str, int], status: int, revision: int | None, failed: Any
     ) -> None:
-        """Handles the store's answer to a removal; `unused` is {key: mod revision}.
+        """Handles the store's answer to a removal; `removed` is {key: mod revision}.
 
         The chunks are marked again unless they were removed (200) or a condition failed (409).
         """
         if status not in (200, 409):
-            self._garbage.update(unused)
+            self._garbage.update(removed)
 
     def _is_unused(self, key: str) -> bool:
         """Whether a chunk is unused.
