Membership: a write of the table is bounded by its measured size

What callers saw: with values of 32 KiB or more, a controller whose table takes two full values can't write it; peers that don't reach it learn nothing of its machines ("rejected this controller's table").

The first overflow value went with the node key whatever its size, and each of the two may take 32 KiB, so keys, field names and lease numbers came on top of 64 KiB.

Evidence (scenario on the old code): a transaction of 65,555 bytes with 2 writes, where the number of the lease has 20 digits, which PROTOCOL allows (integers below 2^64); 65,460 bytes with one digit.

Change: NodeKey assembles its transactions with TransactionBuilder, removals included; its own constant of 48 KiB goes. The stand-in's leases begin at the deployment's first_lease.

--- a/emberglade/membership/node_key.py
+++ b/emberglade/membership/node_key.py
@@ -8,11 +8,10 @@
 from collections.abc import Iterable, Sequence
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-import orjson
-
 from ..actors import Actor, ActorPart, callback, send
 from ..state import LIVE_PREFIX, Priority
 from ..state import wire as state_wire
+from ..state.transaction_builder import TransactionBuilder
 from . import wire
 from .lease import NodeLease
 
@@ -22,8 +21,6 @@
 
 log = logging.getLogger("emberglade.membership")
 
-MAX_TRANSACTION_BYTES = 48 * 1024  # PROTOCOL's 64 KiB, less keys, field names and a reserve
-
 
 class OverflowValue(NamedTuple):
     """A part of the table that has a key of its own."""
@@ -75,13 +72,13 @@
         surplus = self._surplus_keys()
         self._overflow_key_count = len(self._overflow)
         self._unwritten = [OverflowValue(*row) for row in enumerate(self._overflow)]
-        writes = [self._node_write()]
+        transaction = TransactionBuilder(self.settings.txn_ops)
+        transaction.add([], [self._node_write()])
         if surplus:
-            limit = self.settings.txn_ops - 1
-            writes += [state_wire.remove(LIVE_PREFIX + key) for key in surplus[:limit]]
+            self._add_removals(transaction, surplus)
         else:
-            writes += self._overflow_writes(self._next_batch())
-        self._commit(writes)
+            self._add_overflow_values(transaction)
+        self._commit(transaction)
 
     def _surplus_keys(self) -> list[str]:
         """The keys of overflow values that are no longer needed."""
@@ -95,33 +92,28 @@
             self.lease.id,
         )
 
-    def _next_batch(self) -> list[OverflowValue]:
-        """Takes the overflow values for the next transaction out of `_unwritten`."""
-        limit_bytes = MAX_TRANSACTION_BYTES - self.settings.value_bytes
-        size = 0
-        batch: list[OverflowValue] = []
-        while self._unwritten and len(batch) < self.settings.txn_ops - 1:
-            size += len(orjson.dumps(self._unwritten[0].data))
-            if batch and size > limit_bytes:
-                break
-            batch.append(self._unwritten.pop(0))
-        return batch
-
-    def _overflow_writes(self, batch: Iterable[OverflowValue]) -> list[dict[str, Any]]:
-        """The writes of a batch of overflow values."""
-        return [
-            state_wire.put(
-                LIVE_PREFIX + wire.overflow_key(self.settings.node, value.number),
-                value.data,
-                self.lease.id,
-            )
-            for value in batch
-        ]
-
-    def _commit(self, writes: Sequence[dict[str, Any]]) -> None:
-        """Sends writes in one transaction; the answer goes to `on_written`."""
+    @staticmethod
+    def _add_removals(transaction: TransactionBuilder, keys: Iterable[str]) -> None:
+        """Adds the removal of as many of these keys as fit."""
+        for key in keys:
+            if not transaction.add([], [state_wire.remove(LIVE_PREFIX + key)]):
+                return
+
+    def _add_overflow_values(self, transaction: TransactionBuilder) -> None:
+        """Takes as many overflow values as fit out of `_unwritten` and adds them."""
+        while self._unwritten:
+            if not transaction.add([], [self._overflow_write(self._unwritten[0])]):
+                return
+            self._unwritten.pop(0)
+
+    def _overflow_write(self, value: OverflowValue) -> dict[str, Any]:
+        key = wire.overflow_key(self.settings.node, value.number)
+        return state_wire.put(LIVE_PREFIX + key, value.data, self.lease.id)
+
+    def _commit(self, transaction: TransactionBuilder) -> None:
+        """Sends a transaction; the answer goes to `on_written`."""
         reply = callback(self.on_written, self.lease.id)
-        send(self.store.on_commit, Priority.DECISIONS, [], writes, reply)
+        send(self.store.on_commit, Priority.DECISIONS, [], transaction.writes, reply)
 
     def on_written(self, lease: int | None, status: int, revision: int | None, failed: Any) -> None:
         """Handles the store's answer to a write of the node key or overflow values.
@@ -133,7 +125,9 @@
         """
         is_current = lease == self.lease.id and not self.is_stale
         if status == 200 and self._unwritten and is_current:
-            self._commit(self._overflow_writes(self._next_batch()))
+            transaction = TransactionBuilder(self.settings.txn_ops)
+            self._add_overflow_values(transaction)
+            self._commit(transaction)
             return
         self._is_writing = False
         if self.lease.replace_if_expired(lease, status, failed):
--- a/tests/stand_ins/cluster.py
+++ b/tests/stand_ins/cluster.py
@@ -60,9 +60,11 @@
     def make_state_service(self) -> StateService:
         """Creates the state service with the deployment's limits."""
         limits = self.deployment
-        return StateService(
+        state = StateService(
             self.world, limits.rps, limits.write_rps, limits.value_bytes, limits.txn_ops
         )
+        state.next_lease = limits.first_lease
+        return state
 
     def make_cloud(self) -> Cloud:
         """Creates the cloud with the deployment's capacity."""
--- a/tests/stand_ins/deployment.py
+++ b/tests/stand_ins/deployment.py
@@ -38,6 +38,7 @@
         heartbeat_s: The interval of agents' heartbeats.
         capacity: The number of machines in each pool of the cloud.
         next_limits: Announced future limits of the state service.
+        first_lease: The number of the first lease that the state service grants.
         zones: The zones; controllers are assigned to them round-robin.
         teams: The teams by their names.
     """
@@ -53,6 +54,7 @@
     cloud_rps: float = 5.0
     capacity: int = 10
     next_limits: StateLimits = StateLimits()
+    first_lease: int = 1
     zones: tuple[str, ...] = ("a", "b", "c")
     teams: dict[str, observer.Team] = field(default_factory=lambda: {"core": observer.Team()})
 
--- a/tests/stand_ins/state_service.py
+++ b/tests/stand_ins/state_service.py
@@ -50,6 +50,7 @@
             lowered.
         largest_value: The size of the largest value written, by key kind (`eg/l/m`).
         write_counts: The number of puts and removals, by key kind (`eg/l/m`).
+        next_lease: The number of the next lease.
         lease_count: The number of leases granted so far.
         audits: Called around each transaction; see Audit.
         served_listeners: Called with the name of each host that gets an answer of status 200.
@@ -73,6 +74,7 @@
         self.keys: dict[str, StoredKey] = {}
         self.revision = 0
         self.leases: dict[int, Lease] = {}
+        self.next_lease = 1
         self.lease_count = 0
         self.watches = Watches(self)
         self.outage_until = -1.0
@@ -274,10 +276,11 @@
 
     def grant_lease(self, life_s: float) -> int:
         """Grants a lease and returns its number."""
+        number, self.next_lease = self.next_lease, self.next_lease + 1
         self.lease_count += 1
-        self.leases[self.lease_count] = Lease(life_s, self.world.now + life_s)
-        self.world.at(life_s, self.expire, self.lease_count)
-        return self.lease_count
+        self.leases[number] = Lease(life_s, self.world.now + life_s)
+        self.world.at(life_s, self.expire, number)
+        return number
 
     def renew_lease(self, number: int) -> Answer:
         """Extends a lease by its full duration from now on."""
