Shards, dependency lists: transactions are assembled by the one builder

Three senders still had a bound of their own: shards by txn_ops alone, segments of dependency lists by 40 KiB divided by the size of a value, removals of segments by the budget alone. No fault was shown here: a list of dependencies comes in a submission of at most 64 KiB, and shards are four for each controller. Change: all three use TransactionBuilder; DependentSubmissions' own constant goes.

--- a/emberglade/jobs/segment_collection.py
+++ b/emberglade/jobs/segment_collection.py
@@ -6,6 +6,7 @@
 from ..state import LIVE_PREFIX
 from ..state import wire as state_wire
 from ..state.store import DECISIONS
+from ..state.transaction_builder import TransactionBuilder
 from . import wire
 from .scheduling_view import SchedulingView
 
@@ -55,18 +56,21 @@
         ]
 
     def _remove(self, job_id: str, list_id: str) -> None:
-        """Removes as many segments of a list as one commit may write."""
-        segments = sorted(self._graph.segments[(job_id, list_id)].items())
-        keys = [
-            (LIVE_PREFIX + wire.segment_key(job_id, list_id, number), mod_revision)
-            for number, (_, mod_revision) in segments[: self._budget.max_writes]
-        ]
+        """Removes as many segments of a list as one commit may hold, lowest numbers first."""
         waiting = self._graph.waiting.get(job_id)
         waiting_revision = waiting.mod_revision if waiting is not None else 0
+        waiting_condition = (LIVE_PREFIX + wire.waiting_key(job_id), waiting_revision)
+        transaction = TransactionBuilder(self._budget.max_writes)
+        for number, (_, mod_revision) in sorted(self._graph.segments[(job_id, list_id)].items()):
+            key = LIVE_PREFIX + wire.segment_key(job_id, list_id, number)
+            if not transaction.add(
+                [waiting_condition, (key, mod_revision)], [state_wire.remove(key)]
+            ):
+                break
         send(
             self._store.on_commit,
             DECISIONS,
-            [(LIVE_PREFIX + wire.waiting_key(job_id), waiting_revision), *keys],
-            [state_wire.remove(key) for key, _ in keys],
+            list(transaction.conditions.items()),
+            transaction.writes,
             lambda *_: None,
         )
--- a/emberglade/membership/ownership.py
+++ b/emberglade/membership/ownership.py
@@ -12,6 +12,7 @@
 from ..actors import ActorPart, callback, send
 from ..state import LIVE_PREFIX, Change, Priority, ReplicaSubscriber
 from ..state import wire as state_wire
+from ..state.transaction_builder import TransactionBuilder
 from . import wire
 from .lease import NodeLease
 from .owner import NO_OWNER, Owner
@@ -174,7 +175,7 @@
         if not self._may_take():
             return
         if not self._is_taking_shards:
-            shards = self.shards_to_take()[: self.settings.txn_ops]
+            shards = self.shards_to_take()
             if shards:
                 self._take_shards(shards)
         if not self._is_taking_leadership and self.should_take_leadership():
@@ -201,20 +202,26 @@
     # --- transactions
 
     def _take_shards(self, shards: list[int]) -> None:
-        """Takes shards in one transaction that compares their keys' mod revisions."""
+        """Takes as many of these shards as fit in one transaction.
+
+        The transaction compares the mod revisions of the shards' keys.
+        """
         self._is_taking_shards = True
-        conditions = [
-            (LIVE_PREFIX + wire.shard_key(shard), self.shards.get(shard, NO_OWNER).mod_revision)
-            for shard in shards
-        ]
         record = wire.owner_record(self.settings.node, self.lease.incarnation)
-        writes = [state_wire.put(LIVE_PREFIX + wire.shard_key(shard), record) for shard in shards]
-        log.info("taking ownership of shards %s", shards)
+        transaction = TransactionBuilder(self.settings.txn_ops)
+        taken = []
+        for shard in shards:
+            key = LIVE_PREFIX + wire.shard_key(shard)
+            condition = (key, self.shards.get(shard, NO_OWNER).mod_revision)
+            if not transaction.add([condition], [state_wire.put(key, record)]):
+                break
+            taken.append(shard)
+        log.info("taking ownership of shards %s", taken)
         send(
             self.member.store.on_commit,
             Priority.DECISIONS,
-            conditions,
-            writes,
+            list(transaction.conditions.items()),
+            transaction.writes,
             callback(self.member.on_sync_after_commit, self.on_shards_seen),
         )
 
--- a/emberglade/user_api/dependent_submissions.py
+++ b/emberglade/user_api/dependent_submissions.py
@@ -19,6 +19,7 @@
 from ..state import LIVE_PREFIX, ReplicaSubscriber, Store
 from ..state import wire as state_wire
 from ..state.store import SUBMISSIONS
+from ..state.transaction_builder import TransactionBuilder
 from . import wire
 from .acceptance import Acceptance, never_accepted_conditions
 from .answers import Reply, refused, service_unavailable
@@ -29,8 +30,6 @@
 
 log = logging.getLogger("emberglade.user_api")
 
-# Maximum size of the segments in one transaction; PROTOCOL limits a whole transaction to 64 KiB.
-TRANSACTION_BYTES = 40 * 1024
 MAX_LOGGED_DEPENDENCIES = 8
 MAX_DEPENDENCIES_IN_REASON = 4
 # Sent if a submission can't be decided now; the user should retry. Besides the case that its text
@@ -194,14 +193,18 @@
         if not submission.segments:
             self.write_waiting(submission, first_mod_revision)
             return
-        limit = min(self.settings.txn_ops, max(1, TRANSACTION_BYTES // self.settings.value_bytes))
-        chosen = submission.segments[-limit:]
-        submission.segments = submission.segments[:-limit]
+        transaction = TransactionBuilder(self.settings.txn_ops)
+        while submission.segments:
+            key, ids = submission.segments[-1]
+            full_key = LIVE_PREFIX + key
+            if not transaction.add([(full_key, 0)], [state_wire.put(full_key, ids)]):
+                break
+            submission.segments.pop()
         send(
             self.store.on_commit,
             SUBMISSIONS,
-            [(LIVE_PREFIX + key, 0) for key, _ in chosen],
-            [state_wire.put(LIVE_PREFIX + key, ids) for key, ids in chosen],
+            list(transaction.conditions.items()),
+            transaction.writes,
             callback(self.on_segments_written, submission),
         )
 
