Tests: the limits of a transaction at their boundary, and a build without them

Change: a scenario kind `transaction` adds parts to a transaction: one byte below 60 KiB, at it and above, with characters that take two and three bytes, with too many writes and conditions; sizes are measured on the body, apart from the builder's account, which is now exact (it counted two commas too many). The broken build transactions_of_any_size has to fail the scenario of each sender whose batches can grow.

--- a/emberglade/state/transaction_builder.py
+++ b/emberglade/state/transaction_builder.py
@@ -13,7 +13,6 @@
 CONDITIONS_PER_WRITE = 4  # conditions allowed in a transaction, as a multiple of its writes
 
 FRAME_BYTES = len(orjson.dumps(wire.compare_and_swap([], [])))
-SEPARATOR_BYTES = 1  # the comma after a condition or write
 
 
 class TransactionBuilder:
@@ -25,7 +24,7 @@
     Attributes:
         conditions: Key with its prefix -> the mod revision that it must have.
         writes: The changes, in the format of the store's commits.
-        total_bytes: Upper bound of the size of the request's body.
+        total_bytes: Size of the request's body.
     """
 
     def __init__(self, max_writes: int) -> None:
@@ -42,8 +41,8 @@
         The first part always fits, so that no part waits for ever: the limit on values bounds it.
         """
         new = {key: stamp for key, stamp in conditions if key not in self.conditions}
-        part_bytes = sum(map(_encoded_bytes, wire.write_conditions(new.items())))
-        part_bytes += sum(map(_encoded_bytes, writes))
+        part_bytes = _encoded_bytes(wire.write_conditions(new.items()), len(self.conditions))
+        part_bytes += _encoded_bytes(writes, len(self.writes))
         if self.writes and not self._has_space(len(new), len(writes), part_bytes):
             return False
         self.conditions.update(new)
@@ -59,6 +58,7 @@
         )
 
 
-def _encoded_bytes(element: wire.Body) -> int:
-    """The size of a condition or write in the request, in bytes."""
-    return len(orjson.dumps(element)) + SEPARATOR_BYTES
+def _encoded_bytes(elements: Sequence[wire.Body], present: int) -> int:
+    """The bytes by which these elements lengthen an encoded list of `present` elements."""
+    separators = len(elements) if present else max(0, len(elements) - 1)
+    return sum(len(orjson.dumps(element)) for element in elements) + separators
--- a/tests/broken_builds/state.py
+++ b/tests/broken_builds/state.py
@@ -1,6 +1,7 @@
 """Broken builds of commits and read barriers."""
 
 from emberglade.state.store import LIVE_PREFIX, Store
+from emberglade.state.transaction_builder import TransactionBuilder
 
 CONDITIONAL_PREFIXES = tuple(LIVE_PREFIX + prefix for prefix in ("j/", "s/", "t/"))
 
@@ -25,3 +26,12 @@
     patch.setattr(
         Store, "on_sync", lambda self, reply: reply(self.revision if self.revision >= 0 else None)
     )
+
+
+def transactions_of_any_size(patch):
+    """Transactions are limited in their writes, but not in their bytes."""
+    patch.setattr(
+        TransactionBuilder,
+        "_has_space",
+        lambda self, conditions, writes, part_bytes: len(self.writes) + writes <= self._max_writes,
+    )
--- a/tests/scenario_kinds/__init__.py
+++ b/tests/scenario_kinds/__init__.py
@@ -10,6 +10,7 @@
 from .settings import SettingsScenario
 from .sizing import SizingScenario
 from .startup import StartupScenario
+from .transaction import TransactionScenario
 
 # Maps the argument of a scenario's `kind` line to its class.
 KINDS = {
@@ -23,6 +24,7 @@
     "sizing": SizingScenario,
     "settings": SettingsScenario,
     "startup": StartupScenario,
+    "transaction": TransactionScenario,
 }
 
 __all__ = ["KINDS"]
