Settings: a value is at most 56 KiB, so that it fits into a transaction

Need: what is written alone (an accepted job, a cancellation, a rechunked record, undelivered updates, the catalog) is bounded by the limit on values only. PROTOCOL sets no bound to that limit, but 64 KiB to the transaction around it. Change: value_bytes is the smaller of the setting and 56 KiB; keys and conditions have the rest. That a record fills such a value was not brought about in a run: this is a bound by argument.

--- a/emberglade/config/platform.py
+++ b/emberglade/config/platform.py
@@ -11,6 +11,9 @@
 
 BYTES_PER_KB = 1024
 MS_PER_S = 1000
+# A value has to fit into a transaction together with its key and conditions; PROTOCOL allows 64 KiB
+# for all of them, whatever the limit on values is.
+MAX_VALUE_BYTES = 56 * BYTES_PER_KB
 
 
 def load_platform(file: object) -> Settings:
@@ -110,7 +113,10 @@
     limits = StateLimits(
         rps=state.positive_number("rps"),
         write_rps=state.positive_number("write_rps"),
-        value_bytes=int(state.positive_number("value_kb") * BYTES_PER_KB),
+        value_bytes=min(
+            int(state.positive_number("value_kb") * BYTES_PER_KB),
+            MAX_VALUE_BYTES,
+        ),
         txn_ops=state.positive_integer("txn_ops"),
     )
     if "next" not in state:
--- a/tests/scenario_kinds/settings.py
+++ b/tests/scenario_kinds/settings.py
@@ -74,6 +74,10 @@
         """The platform file is loaded."""
         assert load_platform(self.write_platform()).node == "hearth-0"
 
+    def expect_value_bytes(self, expected: str) -> None:
+        """The platform file is loaded with this limit on the size of a value, in bytes."""
+        assert load_platform(self.write_platform()).value_bytes == int(expected)
+
     def expect_error(self, text: str) -> None:
         """The platform file is rejected with one line that names it and matches this text."""
         with pytest.raises(SettingsError, match=text) as caught:
