TransactionBuilder: its conditions are a list, as the store takes them

Need: six senders turned the builder's table of conditions into a list. Change: `conditions` returns the list. Behaviour as before.

--- a/emberglade/jobs/dependency_release.py
+++ b/emberglade/jobs/dependency_release.py
@@ -106,7 +106,7 @@
         send(
             self._store.on_commit,
             DECISIONS,
-            list(transaction.conditions.items()),
+            transaction.conditions,
             transaction.writes,
             callback(self.on_committed, releases, cancelled),
         )
--- a/emberglade/jobs/garbage_collection.py
+++ b/emberglade/jobs/garbage_collection.py
@@ -63,7 +63,7 @@
         send(
             self._store.on_commit,
             DECISIONS,
-            list(transaction.conditions.items()),
+            transaction.conditions,
             transaction.writes,
             callback(self.on_collected, removed),
         )
--- a/emberglade/jobs/rechunking.py
+++ b/emberglade/jobs/rechunking.py
@@ -152,7 +152,7 @@
         send(
             self._store.on_commit,
             DECISIONS,
-            list(transaction.conditions.items()),
+            transaction.conditions,
             transaction.writes,
             callback(self.on_chunks_written, operation, len(transaction.writes)),
         )
--- a/emberglade/jobs/segment_collection.py
+++ b/emberglade/jobs/segment_collection.py
@@ -70,7 +70,7 @@
         send(
             self._store.on_commit,
             DECISIONS,
-            list(transaction.conditions.items()),
+            transaction.conditions,
             transaction.writes,
             lambda *_: None,
         )
--- a/emberglade/jobs/transaction.py
+++ b/emberglade/jobs/transaction.py
@@ -69,7 +69,7 @@
     @property
     def conditions(self) -> list[state_wire.Condition]:
         """The conditions of the transaction."""
-        return list(self._builder.conditions.items())
+        return self._builder.conditions
 
     @property
     def writes(self) -> list[dict[str, Any]]:
--- a/emberglade/membership/ownership.py
+++ b/emberglade/membership/ownership.py
@@ -220,7 +220,7 @@
         send(
             self.member.store.on_commit,
             Priority.DECISIONS,
-            list(transaction.conditions.items()),
+            transaction.conditions,
             transaction.writes,
             callback(self.member.on_sync_after_commit, self.on_shards_seen),
         )
--- a/emberglade/state/transaction_builder.py
+++ b/emberglade/state/transaction_builder.py
@@ -22,7 +22,6 @@
     as the state service allows.
 
     Attributes:
-        conditions: Key with its prefix -> the mod revision that it must have.
         writes: The changes, in the format of the store's commits.
         total_bytes: Size of the request's body.
     """
@@ -31,28 +30,35 @@
         """Starts with an empty transaction that may hold `max_writes` writes."""
         self._max_writes = max_writes
         self._max_conditions = CONDITIONS_PER_WRITE * max_writes
-        self.conditions: dict[str, int] = {}
+        self._mod_revisions: dict[str, int] = {}  # key -> the mod revision that it must have
         self.writes: list[dict[str, Any]] = []
         self.total_bytes = FRAME_BYTES
 
+    @property
+    def conditions(self) -> list[wire.Condition]:
+        """The conditions of the transaction, each key once."""
+        return list(self._mod_revisions.items())
+
     def add(self, conditions: Iterable[wire.Condition], writes: Sequence[dict[str, Any]]) -> bool:
         """Adds a part, and returns whether it fits.
 
         The first part always fits, so that no part waits for ever: the limit on values bounds it.
         """
-        new = {key: stamp for key, stamp in conditions if key not in self.conditions}
-        part_bytes = _encoded_bytes(wire.write_conditions(new.items()), len(self.conditions))
+        new = {
+            key: mod_revision for key, mod_revision in conditions if key not in self._mod_revisions
+        }
+        part_bytes = _encoded_bytes(wire.write_conditions(new.items()), len(self._mod_revisions))
         part_bytes += _encoded_bytes(writes, len(self.writes))
         if self.writes and not self._has_space(len(new), len(writes), part_bytes):
             return False
-        self.conditions.update(new)
+        self._mod_revisions.update(new)
         self.writes += writes
         self.total_bytes += part_bytes
         return True
 
     def _has_space(self, conditions: int, writes: int, part_bytes: int) -> bool:
         return (
-            len(self.conditions) + conditions <= self._max_conditions
+            len(self._mod_revisions) + conditions <= self._max_conditions
             and len(self.writes) + writes <= self._max_writes
             and self.total_bytes + part_bytes <= MAX_TRANSACTION_BYTES
         )
--- a/emberglade/user_api/dependent_submissions.py
+++ b/emberglade/user_api/dependent_submissions.py
@@ -203,7 +203,7 @@
         send(
             self.store.on_commit,
             SUBMISSIONS,
-            list(transaction.conditions.items()),
+            transaction.conditions,
             transaction.writes,
             callback(self.on_segments_written, submission),
         )
--- a/tests/scenario_kinds/transaction.py
+++ b/tests/scenario_kinds/transaction.py
@@ -50,8 +50,8 @@
 
     def do_repeat_conditions(self) -> None:
         """Adds a write with all the conditions that the transaction has already."""
-        conditions = list(self.builder.conditions.items())
-        self.added = self.builder.add(conditions, [wire.remove(self.next_key())])
+        writes = [wire.remove(self.next_key())]
+        self.added = self.builder.add(self.builder.conditions, writes)
 
     def next_key(self) -> str:
         """A key that was not used before."""
@@ -65,7 +65,7 @@
     def encoded_size(self, conditions: list[wire.Condition], writes: list) -> int:
         """The size of the body, in bytes, with these conditions and writes added."""
         body = wire.compare_and_swap(
-            [*self.builder.conditions.items(), *conditions], [*self.builder.writes, *writes]
+            [*self.builder.conditions, *conditions], [*self.builder.writes, *writes]
         )
         return len(orjson.dumps(body))
 
