Jobs: a record that is rejected alone is tried once a lease, not several times a second

What callers saw: nothing beyond; but a job whose record the state service never accepts was committed 381 times in 60 s (scenario), which takes requests and turns from the owner's other jobs.

Cause: after the rejection its tasks are pending again and are placed in the next round. Change: the tasks of a record that was rejected alone are not placed for one lease.

--- a/emberglade/jobs/commits.py
+++ b/emberglade/jobs/commits.py
@@ -26,6 +26,9 @@
 NOT_EXECUTED = (429, 503)
 TOO_MANY_REQUESTS = 429
 MAX_KEYS_LOGGED = 8
+# For how many lease durations (`lease_s`) the tasks of a record that was rejected alone are not
+# placed.
+INVALID_RECORD_BACKOFF_LEASES = 1
 
 
 class CommitListener(Protocol):
@@ -168,9 +171,7 @@
         else:
             self._log_failure(status, failed)
             if status == HTTPStatus.BAD_REQUEST:
-                # Smaller commits separate the record that is invalid from the others, which
-                # otherwise are rejected with it again and again.
-                self._budget.shrink()
+                self._separate_invalid_record()
             self.settle(outcome_final=status in (400, 409))
 
     def _apply_success(self, finished_jobs: list[FinishedJob], revision: int) -> None:
@@ -211,6 +212,22 @@
         self._apply_deferred(in_flight, -1)
         self._schedule_flush(self._settings.agent_heartbeat_s / 8)
 
+    def _separate_invalid_record(self) -> None:
+        """Makes the next commit smaller; backs off the tasks of a record that is invalid alone.
+
+        Otherwise the records of the rejected commit are decided on at the same moment again, and
+        are rejected together again and again.
+        """
+        self._budget.shrink()
+        chunks = self._require_in_flight().chunks
+        if len(chunks) > 1:
+            return
+        until = self.now() + INVALID_RECORD_BACKOFF_LEASES * self._settings.lease_s
+        for key, chunk in chunks.items():
+            job = self._jobs.get(wire.job_id_of(key))
+            if job is not None:
+                job.retry_at.update(dict.fromkeys(chunk.bindings, until))
+
     def _log_failure(self, status: int, failed: Any) -> None:
         keys = self._require_in_flight().chunks
         log.info(
--- a/tests/scenario_kinds/expect_state_service.py
+++ b/tests/scenario_kinds/expect_state_service.py
@@ -47,15 +47,21 @@
         """No transaction was refused for its size, not even after the limits were lowered."""
         assert not self.state.refused_sizes, self.state.refused_sizes[:3]
 
-    def expect_refused_sizes_at_least(self, minimum: str) -> None:
-        """At least this many writes of new-version controllers were refused for their size."""
-        assert len(self.refused_sizes()) >= int(minimum), self.refused_sizes()
+    def expect_refused_sizes(self, minimum: str, maximum: str) -> None:
+        """The number of new-version controllers' writes refused for their size is in this range."""
+        count = len(self.refused_sizes())
+        assert int(minimum) <= count <= int(maximum), count
 
     def expect_largest_value_at_least(self, kind: str, minimum: str) -> None:
         """The largest value of this kind of keys reached this size, so limits were exercised."""
         largest = self.state.largest_value
         assert largest.get(LIVE_PREFIX + kind, 0) >= int(minimum), largest
 
+    def expect_transaction_bytes_at_least(self, kind: str, minimum: str) -> None:
+        """A transaction that writes such keys reached this size, so its bound was exercised."""
+        largest = self.state.largest_transaction
+        assert largest.get(LIVE_PREFIX + kind, 0) >= int(minimum), largest
+
     # --- keys
 
     def expect_rechunked(self, job_id: str, tasks_per_chunk: str) -> None:
