--- a/tests/stand_ins/state_service.py
+++ b/tests/stand_ins/state_service.py
@@ -49,6 +49,8 @@
         refused_sizes: (controller, reason) of each transaction refused since the limits were
             lowered.
         largest_value: The size of the largest value written, by key kind (`eg/l/m`).
+        largest_transaction: The size of the largest transaction carried out that wrote keys of a
+            kind, by key kind.
         write_counts: The number of puts and removals, by key kind (`eg/l/m`).
         next_lease: The number of the next lease.
         lease_count: The number of leases granted so far.
@@ -86,6 +88,7 @@
         self.limits_lowered = False
         self.refused_sizes: list[tuple[str, str]] = []
         self.largest_value: dict[str, int] = {}
+        self.largest_transaction: dict[str, int] = {}
         self.write_counts: dict[str, int] = {}
         self.audits: list[Audit] = []
         self.served_listeners: list[Callable[[str], None]] = []
@@ -231,6 +234,7 @@
         if failed:
             return 409, wire.write_failed_conditions(failed, self.revision)
         if writes:
+            self.record_size(transaction)
             self.apply(writes)
         return 200, wire.write_revision(self.revision)
 
@@ -257,6 +261,12 @@
             self.largest_value[kind] = max(self.largest_value.get(kind, 0), size)
         return None
 
+    def record_size(self, transaction: Transaction) -> None:
+        """Records the size of a transaction under each kind of keys that it writes."""
+        size = transaction.size_bytes()
+        for kind in {wire.key_kind(write.key) for write in transaction.writes}:
+            self.largest_transaction[kind] = max(self.largest_transaction.get(kind, 0), size)
+
     def apply(self, writes: list[Write]) -> None:
         """Applies writes at one new revision and notifies the watches."""
         self.revision += 1
