--- a/emberglade/jobs/commits.py
+++ b/emberglade/jobs/commits.py
@@ -10,11 +10,12 @@
 from ..transport import status_text
 from . import wire
 from .commit_settlement import CommitSettlement
+from .due_records import DueRecords
 from .garbage_collection import GarbageCollection
 from .job import Job
 from .pending_writes import WRITE_DELAY_S, PendingWrites
 from .scheduling_view import SchedulingView
-from .transaction import CommitInFlight, FinishedJob, Transaction
+from .transaction import CommitInFlight, FinishedJob
 
 if TYPE_CHECKING:
     from ..state import Store
@@ -68,10 +69,10 @@
         super().__init__(actor)
         self._settings, self._store, self._budget = view.settings, store, view.budget
         self._jobs, self._owners = view.jobs, view.owners
-        self._chunk_limits = view.chunk_limits
         self._garbage, self._listener = garbage, listener
         self._flush_at = float("inf")  # when the next flush is due
         self.pending = PendingWrites(view)
+        self._due_records = DueRecords(view, self.pending)
         self.in_flight: CommitInFlight | None = None
         self._settlement = CommitSettlement(actor, store, view, self.on_settled)
 
@@ -101,15 +102,9 @@
 
     def _schedule_next_flush(self) -> None:
         """Schedules a flush of the pending records, except for jobs to be rechunked first."""
-        due = [due for key, due in self.pending.due.items() if not self._waits_for_rechunking(key)]
-        if due:
-            self._schedule_flush(max(WRITE_DELAY_S, min(due) - self.now()))
-
-    def _waits_for_rechunking(self, key: str) -> bool:
-        job = self._jobs.get(wire.job_id_of(key))
-        return (
-            job is not None and not job.is_finished() and self._chunk_limits.needs_rechunking(job)
-        )
+        due = self._due_records.next_due()
+        if due is not None:
+            self._schedule_flush(max(WRITE_DELAY_S, due - self.now()))
 
     # --- one commit
 
@@ -120,7 +115,7 @@
             return
         self._listener.before_commit()
         now = self.now()
-        transaction = self._transaction_of_due(now)
+        transaction = self._due_records.take(now)
         if not transaction.writes:
             self._schedule_next_flush()
             return
@@ -134,32 +129,6 @@
             callback(self.on_flushed, transaction.finished_jobs),
         )
 
-    def _transaction_of_due(self, now: float) -> Transaction:
-        """A transaction of as many due records as it may hold."""
-        transaction = Transaction(self._budget.max_writes)
-        for key in self.pending.due_keys(now):
-            job = self._jobs.get(wire.job_id_of(key))
-            if job is None or not self._owners.owns(job):
-                self.pending.discard(key)
-                continue
-            finished = job.is_finished()
-            if not finished and self._chunk_limits.needs_rechunking(job):
-                continue  # its chunks may exceed the size limit; it is rechunked first
-            if finished and wire.is_chunk_key(key):
-                self.pending.discard(key)  # the final state replaces the chunks
-                continue
-            if not self._add_to(transaction, key, job, finished):
-                break
-            self.pending.discard(key)
-        return transaction
-
-    def _add_to(self, transaction: Transaction, key: str, job: Job, finished: bool) -> bool:
-        """Adds a record, or the final state of a finished job; returns whether it fits."""
-        shard, epoch = self._owners.shard_of(job.spec), self._owners.epoch_condition(job.spec)
-        if finished:
-            return transaction.add_final_state(job, shard, epoch)
-        return transaction.add_record(key, job, shard, epoch)
-
     def on_flushed(
         self, finished_jobs: list[FinishedJob], status: int, revision: int | None, failed: Any
     ) -> None:
