--- a/review/common-2/machines.py
+++ b/review/common-2/machines.py
@@ -15,6 +15,7 @@
 CHANGE_GAP_S = 0.5
 STEP_S = 0.02
 LISTING_S = 0.5
+LISTED_DEAD_S = 30.0
 CLOUD_BURST_S = 2.0
 TOLERANCE = 1e-9
 
@@ -131,6 +132,7 @@
         self.nodes, self.node, self.settings, self.ledger = nodes, node, settings, ledger
         self.on_start = lambda task, attempt: None
         self.up = self.dead = False
+        self.died_at = 0.0
         self.rented_at = time.monotonic()
         self.attempts: dict[Key, Attempt] = {}
         self.images: set[str] = set()
@@ -154,10 +156,16 @@
     def die(self, cause: str = "the machine stops") -> None:
         """The machine stops with all that is on it."""
         with self._lock:
-            self.dead, self.up = True, False
+            self.dead, self.up, self.died_at = True, False, time.monotonic()
             self._kill_all(cause)
         self._server.stop()
 
+    def listed_glow(self) -> str:
+        """The state in the cloud's list; a machine that died is listed as running at first."""
+        if self.dead:
+            return "running" if time.monotonic() - self.died_at < LISTED_DEAD_S else "failed"
+        return "running" if self.up else "starting"
+
     def row(self) -> dict[str, Any]:
         """The fields that reports and the cloud's list share."""
         return {
@@ -426,7 +434,7 @@
                     {
                         "id": name,
                         **worker.row(),
-                        "glow": "running" if worker.up or worker.dead else "starting",
+                        "glow": worker.listed_glow(),
                         "age_s": round(now - worker.rented_at, 3),
                     }
                     for name, worker in sorted(self.machines.items())
