--- a/review/common-2/servers.py
+++ b/review/common-2/servers.py
@@ -45,16 +45,22 @@
             self._file.close()
 
 
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """A free port that no client gets by chance."""
+    """A free port that no client gets by chance, and that was not given to anybody before."""
     for _ in range(1000):
         port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port in _given_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
             except OSError:
                 continue
-            return port
+        _given_ports.add(port)
+        return port
     raise OSError("no free port")
 
 
