--- a/review/common-2/cluster.py
+++ b/review/common-2/cluster.py
@@ -24,7 +24,8 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 SUBMIT_TIMEOUT_S, POLL_TIMEOUT_S = 5.0, 2.0
 RETRY_S, RETRY_LIMIT_S = 1.0, 60.0
-FINAL = ("done", "withdrawn")
+# Fields of a job that its user does not send: for the workers, and for the record.
+WORKER_FIELDS = ("run_s", "faulty_from", "filler")
 
 
 class CannotRunError(Exception):
@@ -201,7 +202,7 @@
     def submit(self, job: dict[str, Any], front: str | None = None) -> None:
         """Submits a job, and repeats that as users do until it is accepted."""
         self.ledger.jobs[job["id"]] = job
-        body = {key: value for key, value in job.items() if key not in ("run_s", "filler")}
+        body = {key: value for key, value in job.items() if key not in WORKER_FIELDS}
         until = time.monotonic() + RETRY_LIMIT_S
         while time.monotonic() < until:
             status, answer = request(
--- a/review/common-2/machines.py
+++ b/review/common-2/machines.py
@@ -26,7 +26,8 @@
     """What users submitted, where tasks run, and each breach of a rule that workers can show.
 
     Attributes:
-        jobs: {job id: the submission's body, with `run_s`, the real run time of its tasks}.
+        jobs: {job id: the submission's body, with fields for the workers alone: `run_s`, the real
+            run time of its tasks, and `faulty_from`, from which number on they end in error}.
         places: {task: {machine: zone}} of the tasks that are on machines now.
         done: The tasks that have completed.
         breaches: The breaches so far, as text.
@@ -160,6 +161,12 @@
             self._kill_all(cause)
         self._server.stop()
 
+    def used_cpus(self) -> float:
+        """The processors of all tasks that have not exited, those that fetch included."""
+        with self._lock:
+            live = [row for row in self.attempts.values() if row.glow != "exited"]
+            return sum(row.job.get("cpus", 0.0) for row in live)
+
     def listed_glow(self) -> str:
         """The state in the cloud's list; a machine that died is listed as running at first."""
         if self.dead:
@@ -289,8 +296,11 @@
         if attempt.glow == "fetching":
             self._run(attempt)
             self._changed.set()
+        elif attempt.glow == "saving":
+            self._exit(attempt, "halted")
         else:
-            self._exit(attempt, "done" if attempt.glow == "running" else "halted")
+            faulty = int(attempt.task.rpartition("/")[2]) >= attempt.job.get("faulty_from", 1e9)
+            self._exit(attempt, "error" if faulty else "done")
 
     # --- reports
 
