--- a/review/common-2/cluster.py
+++ b/review/common-2/cluster.py
@@ -189,7 +189,8 @@
 
     def log_lines(self, name: str, word: str, most: int = 20) -> list[str]:
         """The last lines of a controller's log that contain a word."""
-        text = (self.folder / f"{name}.log").read_text(errors="replace")
+        file = self.folder / f"{name}.log"
+        text = file.read_text(errors="replace") if file.exists() else ""
         return [line for line in text.splitlines() if word in line][-most:]
 
     # --- users
@@ -308,6 +309,10 @@
     code = result[0] if result else NOT_RUN
     verdict = {BROKEN: "the rule was BROKEN", HELD: "the rule held"}
     for deployment in deployments:
+        if code == NOT_RUN:
+            for name in deployment.controllers:
+                for line in deployment.log_lines(name, "", 3):
+                    record.note(f"log of {name}: {line}")
         for breach in deployment.ledger.breaches:
             print(breach, flush=True)
         deployment.stop()
--- a/review/common-2/servers.py
+++ b/review/common-2/servers.py
@@ -2,8 +2,9 @@
 
 import http.client
 import http.server
+import itertools
 import json
-import random
+import os
 import socket
 import threading
 import time
@@ -12,7 +13,9 @@
 from typing import Any
 
 LOOPBACK = "127.0.0.1"
-FIRST_PORT, LAST_PORT = 20_000, 30_000  # below the range from which clients get their ports
+# Below the range from which clients get their ports. Each process has a part of it, so that cases
+# that are run at the same time don't get in each other's way.
+FIRST_PORT, PORTS_PER_PROCESS, PARTS = 20_000, 100, 100
 NO_ANSWER = 0  # status of a request without a response
 
 # handle(method, path, body) -> (status, body); status NO_ANSWER: the connection is closed.
@@ -45,21 +48,19 @@
             self._file.close()
 
 
-_given_ports: set[int] = set()
+_candidates = itertools.count(os.getpid() % PARTS * PORTS_PER_PROCESS)
 
 
 def free_port() -> int:
     """A free port that no client gets by chance, and that was not given to anybody before."""
-    for _ in range(1000):
-        port = random.randrange(FIRST_PORT, LAST_PORT)
-        if port in _given_ports:
-            continue
+    for _ in range(PORTS_PER_PROCESS * PARTS):
+        port = FIRST_PORT + next(_candidates) % (PORTS_PER_PROCESS * PARTS)
         with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 probe.bind((LOOPBACK, port))
             except OSError:
                 continue
-        _given_ports.add(port)
         return port
     raise OSError("no free port")
 
