--- a/review/common-2/machines.py
+++ b/review/common-2/machines.py
@@ -134,6 +134,7 @@
         self.on_start = lambda task, attempt: None
         self.up = self.dead = False
         self.died_at = 0.0
+        self.is_cut = False  # its connections fail, in both directions
         self.rented_at = time.monotonic()
         self.attempts: dict[Key, Attempt] = {}
         self.images: set[str] = set()
@@ -161,6 +162,11 @@
             self._kill_all(cause)
         self._server.stop()
 
+    def running_tasks(self) -> list[str]:
+        """The tasks that run."""
+        with self._lock:
+            return [row.task for row in self.attempts.values() if row.glow == "running"]
+
     def used_cpus(self) -> float:
         """The processors of all tasks that have not exited, those that fetch included."""
         with self._lock:
@@ -186,7 +192,7 @@
 
     def _serve(self, method: str, path: str, body: Any) -> tuple[int, Any]:
         with self._lock:
-            if not self.up:
+            if not self.up or self.is_cut:
                 return NO_ANSWER, None
             if path == "/status":
                 return 200, self._report()
@@ -324,10 +330,14 @@
             with self._lock:
                 self._changed.clear()
                 body, session = self._report(), self.session
-            path = "/agent/beat"
-            status, answer = connections[self.node].request("POST", path, body, REPORT_TIMEOUT_S)
+            status, answer = NO_ANSWER, None
+            if not self.is_cut:
+                connection = connections[self.node]
+                status, answer = connection.request("POST", "/agent/beat", body, REPORT_TIMEOUT_S)
             if self.dead:
                 return
+            if self.is_cut:
+                status = NO_ANSWER
             if status == 200:
                 self._renew(sent_at, session, answer)
                 self._wait_for_next(sent_at)
@@ -366,6 +376,9 @@
         capacity: {zone: machines that can still be rented there}; spot machines have none.
         boot_s: How long a rented machine takes to come up.
         calls: (time, controller, path, body) of each request but lists and the catalog.
+        listed_by: The controllers that have asked for the list, the last one last.
+        returned_busy: (time, controller, machine, its running tasks) of each return of a machine on
+            which tasks ran.
     """
 
     def __init__(
@@ -382,6 +395,8 @@
         self.capacity, self.boot_s = capacity, boot_s
         self.machines: dict[str, Worker] = {}
         self.calls: list[tuple[float, str, str, Any]] = []
+        self.listed_by: list[str] = []
+        self.returned_busy: list[tuple[float, str, str, list[str]]] = []
         self._count = 0
         self._answered: dict[str, list[str]] = {}
         self._listings: list[tuple[float, list[dict[str, Any]]]] = []
@@ -422,9 +437,11 @@
             if path == "/catalog":
                 return 200, {"hearth_kinds": [self.kind]}
             if path == "/hosts" and method == "GET":
+                self.listed_by = [name for name in self.listed_by if name != controller]
+                self.listed_by.append(controller)
                 return 200, self._list(dict(urllib.parse.parse_qsl(query)))
             self.calls.append((self.ledger.record.now(), controller, path, body))
-            answer = self._rent(body) if path == "/hosts" else self._return(body)
+            answer = self._rent(body) if path == "/hosts" else self._return(controller, body)
             self.ledger.record.note(f"cloud: {controller} {path} {body}: {answer}")
             return answer
 
@@ -467,10 +484,14 @@
         names = self._answered[body["woodcall"]] = [worker.name for worker in workers]
         return 200, {"hearths": names}
 
-    def _return(self, body: dict[str, Any]) -> tuple[int, Any]:
+    def _return(self, controller: str, body: dict[str, Any]) -> tuple[int, Any]:
         for name in body["hearths"]:
             worker = self.machines.pop(name, None)
             if worker is not None:
+                tasks = worker.running_tasks()
+                if tasks:
+                    at = self.ledger.record.now()
+                    self.returned_busy.append((at, controller, name, tasks))
                 self.capacity[worker.zone] = self.capacity.get(worker.zone, 0) + 1
                 worker.die("the machine was returned")
         return 200, {}
