--- a/review/4/case.py
+++ b/review/4/case.py
@@ -8,12 +8,13 @@
 from typing import Any
 
 import sites
-from cluster import Deployment, job, run_case, wait_for
+from cluster import CannotRunError, Deployment, job, run_case, wait_for
 from servers import Record
 
 FREEZE_S = 8.0
 NODES = ["hearth-0", "hearth-1", "hearth-2"]
 SHARDS = 4 * len(NODES)
+OWNER = "hearth-1"  # of the jobs; the machine on which they meet reports to another controller
 
 
 def team_owned_by(node: str, settings: dict[str, Any]) -> str:
@@ -34,10 +35,10 @@
     ledger, cloud = deployment.ledger, deployment.cloud
     first = cloud.add("xela", "hearth-0")
     second = cloud.add("ciudad", "hearth-1")
+    deployment.start()
     first.boot()
     second.boot()
-    deployment.start()
-    crew = team_owned_by("hearth-1", settings)
+    crew = team_owned_by(OWNER, settings)
     replicas = {"crew": crew, "shape": "standing", "rank": "critical", "cpus": 2.0, "ram_gb": 4.3}
 
     def runs(job_id: str, tasks: int, seconds: float) -> None:
@@ -68,6 +69,11 @@
     wait_for(lambda: first.name in ledger.places.get(task, {}), 15.0, "the task runs")
     time.sleep(2.0)
 
+    frozen = first.node  # the controller that gets the machine's reports
+    record.note(f"{first.name} reports to {frozen}, {OWNER} owns the jobs")
+    if frozen == OWNER:
+        raise CannotRunError(f"{first.name} reports to the owner of the jobs")
+
     # A service that only fits in its place preempts it, but is cancelled before it has saved.
     again = threading.Event()
 
@@ -75,7 +81,7 @@
         if (started, attempt) == (task, 2):
             again.set()
             if trouble:
-                deployment.controllers["hearth-0"].signal(signal.SIGSTOP)
+                deployment.controllers[frozen].signal(signal.SIGSTOP)
 
     first.on_start = on_start
     deployment.submit(job("job-000004", glade="xela", **replicas), deployment.fronts["hearth-2"])
@@ -91,7 +97,7 @@
     time.sleep(1.5)
     deployment.submit(job("job-000005", glade="xela", **replicas), deployment.fronts["hearth-2"])
     time.sleep(max(0.0, began + FREEZE_S - time.monotonic()))
-    deployment.controllers["hearth-0"].signal(signal.SIGCONT)
+    deployment.controllers[frozen].signal(signal.SIGCONT)
     time.sleep(6.0)
     return ledger.breaches
 
