--- a/review/common-2/cluster.py
+++ b/review/common-2/cluster.py
@@ -6,7 +6,6 @@
 import shutil
 import signal
 import subprocess
-import sys
 import tempfile
 import threading
 import time
@@ -16,7 +15,7 @@
 from typing import Any
 
 from machines import Cloud, Ledger
-from servers import LOOPBACK, Forwarder, HttpServer, Record, free_port, request
+from servers import LOOPBACK, Forwarder, Record, free_port, request
 from state import StateService
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -280,7 +279,7 @@
     }
 
 
-def run_case(folder: Path, play: Callable[[Record, bool], Deployment]) -> None:
+def run_case(folder: Path, play: Callable[[Record, bool, list[Deployment]], list[str]]) -> None:
     """Plays a case and exits: 1 if a rule was broken, 0 if it held, 2 if the case couldn't run.
 
     `play(record, trouble, deployments)` plays it and returns the breaches; each deployment that it
@@ -320,14 +319,3 @@
     print(f"exit {code}: {verdict.get(code, 'the case could not run')}", flush=True)
     record.close()
     os._exit(code)
-
-
-__all__ = [
-    "CannotRunError",
-    "Deployment",
-    "HttpServer",
-    "job",
-    "run_case",
-    "sys",
-    "wait_for",
-]
