--- a/emberglade/agents/agent_records.py
+++ b/emberglade/agents/agent_records.py
@@ -4,8 +4,9 @@
 from typing import Any
 
 from .lease_evidence import FORGET_AFTER_LEASES, LastSeen, LeaseEvidence
-from .wire.agents import AgentHeartbeat, TaskKey, TaskStatus
+from .wire.agents import AgentHeartbeat
 from .wire.peers import MachineStatus, machine_values
+from .wire.tasks import ReportedTasks
 
 
 class AgentRecord:
@@ -36,7 +37,7 @@
 
     def __init__(self, heartbeat: AgentHeartbeat, now: float) -> None:
         self.heartbeat = heartbeat
-        self.tasks: dict[TaskKey, TaskStatus] | None = None
+        self.tasks: ReportedTasks | None = None
         self.heartbeat_at = now
         self.contact_at = now
         self.settled = False
--- a/emberglade/agents/bindings.py
+++ b/emberglade/agents/bindings.py
@@ -7,7 +7,7 @@
 from ..jobs.binding import StopMode
 from ..jobs.job_spec import JobSpec
 from .cancelled_jobs import CancelledJobs
-from .wire.agents import TaskKey
+from .wire.tasks import TaskKey
 
 # Indexes into the row of a stored binding.
 ROW_ATTEMPT = 0
--- a/emberglade/agents/direct_commands.py
+++ b/emberglade/agents/direct_commands.py
@@ -10,7 +10,9 @@
 from .shared_state import AgentPart, SharedState
 from .update_forwarding import UpdateForwarding
 from .wire import agents as agent_wire
-from .wire.agents import AgentHeartbeat, Command, HaltTask, StartTask, TaskKey, TaskStatus
+from .wire.agents import AgentHeartbeat, Command, HaltTask, StartTask
+from .wire.fields import HeartbeatError
+from .wire.tasks import ReportedTasks, TaskKey, read_tasks
 
 log = logging.getLogger("emberglade.agents")
 
@@ -105,7 +107,7 @@
 
     def apply_answer(
         self, machine: str, status: int, body: Any
-    ) -> tuple[AgentHeartbeat, dict[TaskKey, TaskStatus]] | None:
+    ) -> tuple[AgentHeartbeat, ReportedTasks] | None:
         """Processes the heartbeat in an agent's answer.
 
         Updates the machine's record if the heartbeat is newer than the one in it, and notifies the
@@ -118,8 +120,8 @@
             return None
         try:
             heartbeat = agent_wire.read_heartbeat(body)
-            tasks = agent_wire.read_tasks(heartbeat.raw_tasks)
-        except agent_wire.HeartbeatError as error:
+            tasks = read_tasks(heartbeat.raw_tasks)
+        except HeartbeatError as error:
             log.info(
                 "machine %s answered a direct command with a malformed heartbeat; "
                 "ignoring the answer: %s",
--- a/emberglade/agents/direct_halts.py
+++ b/emberglade/agents/direct_halts.py
@@ -18,7 +18,8 @@
 from .shared_state import AgentPart, SharedState
 from .wire import agents as agent_wire
 from .wire import peers as peer_wire
-from .wire.agents import EXITED, AgentHeartbeat, HaltTask, TaskKey, TaskStatus
+from .wire.agents import AgentHeartbeat, HaltTask
+from .wire.tasks import EXITED, ReportedTasks
 
 # HTTP status: the agent has seen a higher fencing token, or is in another agent epoch.
 COMMANDS_REFUSED = 409
@@ -186,19 +187,16 @@
         if self.halts_deferred:
             self._halt_due_jobs()
 
-    def _note_ended(
-        self, machine: str, heartbeat: AgentHeartbeat, tasks: dict[TaskKey, TaskStatus]
-    ) -> None:
+    def _note_ended(self, machine: str, heartbeat: AgentHeartbeat, tasks: ReportedTasks) -> None:
         """Records which cancelled tasks have ended according to a machine's heartbeat."""
         for key, desired in self.committed.bindings.of_machine(machine).items():
             cancellation = self.committed.cancelled.by_job.get(key[0])
             if cancellation is None:
                 continue
-            found = tasks.get(key)
+            found = tasks.attempt(key, desired.attempt)
             if (
                 heartbeat.agent_epoch > desired.agent_epoch
                 or found is None
-                or found.attempt != desired.attempt
                 or found.state is EXITED
             ):
                 cancellation.ended.add((key[1], desired.attempt))
--- a/emberglade/agents/heartbeats.py
+++ b/emberglade/agents/heartbeats.py
@@ -21,6 +21,8 @@
 from .update_forwarding import UpdateForwarding
 from .wire import agents as agent_wire
 from .wire.agents import AgentHeartbeat
+from .wire.fields import HeartbeatError
+from .wire.tasks import read_tasks
 
 Reply = Callable[..., Any]  # reply(status, body) or reply(status, body, retry_after_s)
 
@@ -65,7 +67,7 @@
         """Parses a heartbeat and answers it with `reply(status, body[, retry_after_s])`."""
         try:
             heartbeat = agent_wire.read_heartbeat(data)
-        except agent_wire.HeartbeatError as error:
+        except HeartbeatError as error:
             reply(400, agent_wire.write_error(error))
             return
         now = self.now()
@@ -171,8 +173,8 @@
         """Compares a machine's tasks with the committed bindings and answers its agent."""
         heartbeat = record.heartbeat
         try:
-            tasks = record.tasks = agent_wire.read_tasks(heartbeat.raw_tasks)
-        except agent_wire.HeartbeatError as error:
+            tasks = record.tasks = read_tasks(heartbeat.raw_tasks)
+        except HeartbeatError as error:
             record.tasks = None
             reply(400, agent_wire.write_error(error))
             return
--- a/emberglade/agents/reconciliation.py
+++ b/emberglade/agents/reconciliation.py
@@ -14,16 +14,8 @@
 from .agent_records import AgentRecord
 from .bindings import CommittedBindings, DesiredTask
 from .committed_state import CommittedState
-from .wire.agents import (
-    EXITED,
-    SAVING,
-    ClearTask,
-    Command,
-    HaltTask,
-    StartTask,
-    TaskKey,
-    TaskStatus,
-)
+from .wire.agents import ClearTask, Command, HaltTask, StartTask
+from .wire.tasks import EXITED, SAVING, ReportedTasks, TaskKey, TaskStatus
 
 log = logging.getLogger("emberglade.agents")
 
@@ -79,10 +71,10 @@
         `synced`: the replica was synced after that heartbeat arrived.
         """
         heartbeat = record.heartbeat
-        tasks = record.tasks or {}
+        tasks = record.tasks or ReportedTasks()
         desired_tasks = self.bindings.of_machine(heartbeat.machine)
         result = Reconciliation(max(heartbeat.fencing_token, record.probe_token or 0))
-        for key, status in tasks.items():
+        for key, status in tasks:
             desired = desired_tasks.get(key)
             if desired is None or desired.attempt != status.attempt:
                 self._end_undesired(result, heartbeat.machine, key, status, synced)
@@ -92,10 +84,11 @@
             # (`update_forwarding`), and the task is cleared once the exit is committed.
         may_start = self._may_start(record)
         for key, desired in desired_tasks.items():
-            found = tasks.get(key)
-            present = found is not None and found.attempt == desired.attempt
+            present = tasks.attempt(key, desired.attempt) is not None
             if not present and desired.agent_epoch == heartbeat.agent_epoch:
-                self._start_absent(result, key, found, desired, may_start, synced)
+                # Another attempt of the task has to end first.
+                may_start_task = may_start and not tasks.has_live_attempt(key)
+                self._start_absent(result, key, desired, may_start_task, synced)
         return result
 
     def _may_start(self, record: AgentRecord) -> bool:
@@ -153,22 +146,16 @@
         self,
         result: Reconciliation,
         key: TaskKey,
-        found: TaskStatus | None,
         desired: DesiredTask,
         may_start: bool,
         synced: bool,
     ) -> None:
-        """Handles a bound attempt that is not on the machine.
-
-        `found` is another attempt of the task on the machine, if there is one.
-        """
+        """Handles a bound attempt that is not on the machine."""
         stop, stop_revision = self.bindings.stop_of(key, desired)
         if stop != StopMode.KEEP:
             # Once the agent has this fencing token, it rejects a delayed start of the task.
             result.fence(stop_revision)
             return
-        if found is not None and found.state is not EXITED:
-            return  # the other attempt has to end first
         if not may_start:
             return
         if synced:
--- a/emberglade/agents/update_forwarding.py
+++ b/emberglade/agents/update_forwarding.py
@@ -15,7 +15,8 @@
 from .shared_state import AgentPart, SharedState
 from .wire import peers as peer_wire
 from .wire import records
-from .wire.agents import EXITED, AgentHeartbeat, TaskKey, TaskStatus
+from .wire.agents import AgentHeartbeat
+from .wire.tasks import EXITED, ReportedTasks, TaskKey, TaskStatus
 
 MAX_UPDATES_PER_MESSAGE = 200
 VALUE_OVERHEAD_BYTES = 256  # field and controller names in the value with undelivered updates
@@ -43,13 +44,14 @@
         self.undelivered: dict[str, dict[UpdateKey, TaskUpdate]] = {}
         self.wrote_updates = False
 
-    def notify_owners(self, heartbeat: AgentHeartbeat, tasks: dict[TaskKey, TaskStatus]) -> bool:
+    def notify_owners(self, heartbeat: AgentHeartbeat, tasks: ReportedTasks) -> bool:
         """Forwards the updates that follow from a heartbeat; returns whether there are any."""
-        updates = [
-            update
-            for key, desired in self.committed.bindings.of_machine(heartbeat.machine).items()
-            if (update := self._proven_update(heartbeat, key, desired, tasks.get(key))) is not None
-        ]
+        updates = []
+        for key, desired in self.committed.bindings.of_machine(heartbeat.machine).items():
+            found = tasks.attempt(key, desired.attempt)
+            update = self._proven_update(heartbeat, key, desired, found)
+            if update is not None:
+                updates.append(update)
         for update in updates:
             self.forward(update)
         return bool(updates)
@@ -63,10 +65,11 @@
     ) -> TaskUpdate | None:
         """What a heartbeat proves about a task that the replica binds to its machine, or None.
 
-        `found` is the task's status in the heartbeat.
+        `found` is the bound attempt's status in the heartbeat. The task's other attempts prove
+        nothing about it.
         """
         stop, stop_revision = self.committed.bindings.stop_of(key, desired)
-        if found is not None and found.attempt == desired.attempt:
+        if found is not None:
             if found.state is EXITED:
                 machine = heartbeat.machine
                 return TaskExited(
--- a/emberglade/agents/wire/agents.py
+++ b/emberglade/agents/wire/agents.py
@@ -5,44 +5,13 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from enum import Enum
-from typing import Any, NamedTuple
+from typing import Any
 
 from ...jobs.job import task_name
+from .fields import HeartbeatError, read_count, read_text
+from .tasks import TaskKey
 
 COMMANDS_PATH = "/commands"  # on the agent's server
-MAX_COUNT = 2**64  # exclusive limit for epochs, sequence numbers, fencing tokens and attempts
-
-
-class HeartbeatError(ValueError):
-    """A malformed heartbeat; the message describes the fault and is sent back to the agent."""
-
-
-class TaskState(Enum):
-    """The state of a task on its machine; the values are those in heartbeats."""
-
-    FETCHING = "fetching"  # waiting for its image
-    RUNNING = "running"
-    SAVING = "saving"  # saving a checkpoint before it stops
-    EXITED = "exited"
-    UNKNOWN = ""  # a state that PROTOCOL does not define
-
-
-TaskKey = tuple[str, int]  # (job id, task number)
-TASK_STATES = {state.value: state for state in TaskState}
-# Every task of a heartbeat is compared with these, and Python 3.11 looks up enum members slowly.
-EXITED = TaskState.EXITED
-SAVING = TaskState.SAVING
-UNKNOWN = TaskState.UNKNOWN
-
-
-class TaskStatus(NamedTuple):
-    """The status of one task on a machine, as its agent reports it."""
-
-    attempt: int
-    state: TaskState
-    exit_reason: str | None
-    checkpointed: bool
 
 
 @dataclass(slots=True)
@@ -51,7 +20,7 @@
 
     Attributes:
         spot_notice_s: Seconds until the cloud reclaims the machine; None without a notice.
-        raw_tasks: The tasks as received, for `read_tasks`.
+        raw_tasks: The tasks as received, for `tasks.read_tasks`.
     """
 
     machine: str
@@ -74,18 +43,6 @@
 # --- heartbeats
 
 
-def _read_count(value: Any) -> int:
-    if type(value) is not int or not 0 <= value < MAX_COUNT:
-        raise HeartbeatError(f"{value!r} is not a count")
-    return value
-
-
-def _read_text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise HeartbeatError(f"{value!r} is not a text")
-    return value
-
-
 def _read_spot_notice(value: Any) -> float | None:
     if value is not None and (isinstance(value, bool) or not isinstance(value, int | float)):
         raise HeartbeatError(f"reclaim_s {value!r} is not a number")
@@ -106,14 +63,14 @@
         if not isinstance(raw_tasks, list):
             raise HeartbeatError("embers is not a list")
         return AgentHeartbeat(
-            _read_text(data["hearth"]),
-            _read_text(data["addr"]),
-            _read_text(data["hearth_kind"]),
-            _read_text(data["glade"]),
+            read_text(data["hearth"]),
+            read_text(data["addr"]),
+            read_text(data["hearth_kind"]),
+            read_text(data["glade"]),
             bool(data.get("driftwood")),
-            _read_count(data["kindling_span"]),
-            _read_count(data["tally"]),
-            _read_count(data.get("torch") or 0),
+            read_count(data["kindling_span"]),
+            read_count(data["tally"]),
+            read_count(data.get("torch") or 0),
             spot_notice_s,
             raw_tasks,
         )
@@ -121,31 +78,6 @@
         raise HeartbeatError(f"the report lacks {error.args[0]}") from None
 
 
-def read_tasks(raw_tasks: list) -> dict[TaskKey, TaskStatus]:
-    """Parses the tasks of a heartbeat from its `raw_tasks`.
-
-    Raises:
-        HeartbeatError: A task is malformed.
-    """
-    tasks: dict[TaskKey, TaskStatus] = {}
-    try:
-        for row in raw_tasks:
-            job_id, _, number = _read_text(row["ember"]).rpartition("/")
-            tasks[(job_id, int(number))] = TaskStatus(
-                _read_count(row["strike"]),
-                TASK_STATES.get(_read_text(row["glow"]), UNKNOWN),
-                row.get("ashcause"),
-                bool(row.get("stored")),
-            )
-    except KeyError as error:
-        raise HeartbeatError(f"a task of the report lacks {error.args[0]}") from None
-    except (TypeError, AttributeError) as error:
-        raise HeartbeatError(f"a task of the report is malformed: {error}") from None
-    except ValueError as error:
-        raise HeartbeatError(str(error)) from None
-    return tasks
-
-
 # --- commands
 
 
--- a/tests/broken_builds/agents.py
+++ b/tests/broken_builds/agents.py
@@ -8,6 +8,7 @@
 from emberglade.agents.reachability import Reachability
 from emberglade.agents.reconciliation import Reconciler
 from emberglade.agents.routing import Routing
+from emberglade.agents.wire.tasks import ReportedTasks
 
 
 def ignores_cancellations(patch):
@@ -71,3 +72,12 @@
 def forgets_cancellations_of_dead_peers(patch):
     """Pending halts of a dead controller are not taken over by the others."""
     patch.setattr(AgentManager, "on_peer_dead", lambda self, name: None)
+
+
+def keeps_one_attempt_of_each_task(patch):
+    """Of the attempts of a task in a heartbeat, only the last one listed is kept."""
+
+    def add(self, key, status):
+        self._by_task[key] = [status]
+
+    patch.setattr(ReportedTasks, "add", add)
--- a/tests/stand_ins/wire.py
+++ b/tests/stand_ins/wire.py
@@ -126,6 +126,7 @@
     STOPPED = "halted"
     NO_SUCH_JOB = "no_such"
     NO_CAPACITY = "full"
+    BUSY = "busy"
 
 
 class CommandKind(StrEnum):
--- a/tests/stand_ins/worker.py
+++ b/tests/stand_ins/worker.py
@@ -223,8 +223,8 @@
     def task_rows(self) -> Iterator[dict[str, Any]]:
         """The rows of the tasks in a heartbeat."""
         return (
-            wire.write_task(name, task.attempt, task.state, task.exit_reason, task.checkpointed)
-            for name, task in self.tasks.by_name.items()
+            wire.write_task(key.task, key.attempt, task.state, task.exit_reason, task.checkpointed)
+            for key, task in self.tasks.behavior.ordered(self.tasks.attempts.items())
         )
 
     def send_heartbeat(self, planned_after: int | None = None) -> None:
--- a/tests/stand_ins/world.py
+++ b/tests/stand_ins/world.py
@@ -74,6 +74,7 @@
     """The clock, the event queue, and the network between hosts.
 
     Attributes:
+        seed: The seed of all random draws.
         random: The random number generator that all stand-ins of a run share.
         now: Seconds since the world started.
         hosts: The handler of each host by its name; None while its process is down.
@@ -88,6 +89,7 @@
     """
 
     def __init__(self, seed: int) -> None:
+        self.seed = seed
         self.random = random.Random(seed)
         self.now = 0.0
         self.events: list[tuple[float, int, Callable, tuple]] = []
@@ -102,6 +104,10 @@
         self.max_extra_delay_s = 0.0
         self.loss = 0.0
 
+    def generator(self, name: str) -> random.Random:
+        """A generator of its own for `name`, whose draws don't change those of `random`."""
+        return random.Random(f"{self.seed} {name}")
+
     def at(self, delay: float, action: Callable, *args: Any) -> None:
         """Schedules a call in `delay` seconds."""
         due = self.now + max(delay, 0.0)
