Agents: the token of an answer follows the end of bindings, listed or not

What callers saw: a team above its limit (quota) after agents were restarted in the same agent epoch, without their rows, and copies of start commands arrived.

Cause: the token that refuses a late copy was raised by the clear of the attempt's row alone; a row that is gone is not cleared.

Change: an answer carries at least the revision at which the machine's last binding to end was gone.

--- a/emberglade/agents/bindings.py
+++ b/emberglade/agents/bindings.py
@@ -106,6 +106,7 @@
         changed_machines: Machines whose bindings or taint changed, or one of whose jobs was
             cancelled, since this controller last compared their tasks with the bindings.
         changed: The new bindings and new stops in the changes that are being applied.
+        unbound_machines: Machines that lost a binding in the changes that are being applied.
     """
 
     def __init__(self, cancelled: CancelledJobs) -> None:
@@ -114,6 +115,7 @@
         self.by_machine: dict[str, dict[TaskKey, DesiredTask]] = {}
         self.changed_machines: set[str] = set()
         self.changed: list[ChangedBinding] = []
+        self.unbound_machines: set[str] = set()
         self.early_chunks = EarlyChunks()
 
     def of_machine(self, machine: str) -> dict[TaskKey, DesiredTask]:
@@ -137,6 +139,11 @@
         changed, self.changed = self.changed, []
         return changed
 
+    def take_unbound_machines(self) -> set[str]:
+        """Removes and returns the machines that lost a binding since the last call."""
+        machines, self.unbound_machines = self.unbound_machines, set()
+        return machines
+
     # --- changes of the replica
 
     def keep_only(self, job_ids: Iterable[str]) -> None:
@@ -242,6 +249,7 @@
         if not bound:
             del self.by_machine[machine]
         self.changed_machines.add(machine)
+        self.unbound_machines.add(machine)
         return before
 
     def _bind(self, key: TaskKey, row: list, stop_revision: int) -> None:
--- a/emberglade/agents/committed_state.py
+++ b/emberglade/agents/committed_state.py
@@ -1,5 +1,6 @@
 """The part of the replica that the agent manager uses."""
 
+from collections.abc import Container
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -44,6 +45,7 @@
         controllers: The controllers whose keys exist.
         tables: {controller: {key: value}}: the stored values of each controller's status table,
             under the controller's own key and the overflow keys.
+        unbound_revisions: {machine: a revision at which its last binding to end is gone}.
         revision: The newest revision that the replica shows; -1 while there is no replica.
     """
 
@@ -57,6 +59,7 @@
         self.machine_types: dict[str, MachineType] = {}
         self.controllers: set[str] = set()
         self.tables: dict[str, dict[str, Any]] = {}
+        self.unbound_revisions: dict[str, int] = {}
         self.revision = -1
 
     def owner_of(self, spec: JobSpec) -> str | None:
@@ -82,8 +85,18 @@
             self._apply_key(key, data, mod_revision, change)
         self.revision = max(self.revision, revision)
         change.bindings = self.bindings.take_changed()
+        for machine in self.bindings.take_unbound_machines():
+            self.unbound_revisions[machine] = self.revision
         return change
 
+    def forget_unbound(self, known_machines: Container[str]) -> None:
+        """Drops the unbound revisions of machines that are not among these."""
+        self.unbound_revisions = {
+            machine: revision
+            for machine, revision in self.unbound_revisions.items()
+            if machine in known_machines
+        }
+
     def _forget_missing(self, events: list) -> None:
         """Drops jobs that a snapshot does not contain, and all controllers and taints."""
         self.bindings.keep_only(
--- a/emberglade/agents/inventory.py
+++ b/emberglade/agents/inventory.py
@@ -89,6 +89,7 @@
         self.records.forget_old(now)
         self.routing.forget_old(now)
         self.evidence.forget_old(now)
+        self.committed.forget_unbound(self.evidence.last_seen)
         recent_s = 3 * self.settings.agent_heartbeat_s + 1
         if self.evidence.lacks_recent_answers(now):
             # Some machines may be known only from tables, which arrive less often than answers.
--- a/emberglade/agents/reconciliation.py
+++ b/emberglade/agents/reconciliation.py
@@ -74,6 +74,8 @@
         tasks = record.tasks or ReportedTasks()
         desired_tasks = self.bindings.of_machine(heartbeat.machine)
         result = Reconciliation(max(heartbeat.fencing_token, record.probe_token or 0))
+        # From now on late copies of starts are refused, also if the agent lost the attempts' rows.
+        result.fence(self.committed.unbound_revisions.get(heartbeat.machine, 0))
         for key, status in tasks:
             desired = desired_tasks.get(key)
             if desired is None or desired.attempt != status.attempt:
