Agents: an agent that counts anew after a restart refuses old commands

Cause: heartbeats of an agent that begins again at epoch 1 pass for late copies. They were answered with their own token, 0, which renewed the lease and left the agent open to every earlier command; what it ran was not looked at.

Change: the first answer to an outdated heartbeat carries the newest committed revision, later ones no token, so the lease ends and the next epoch is newer than what is known.

--- a/emberglade/agents/heartbeats.py
+++ b/emberglade/agents/heartbeats.py
@@ -14,6 +14,7 @@
 from .agent_records import AgentRecord
 from .inventory import MachineInventory
 from .lease_evidence import LastSeen
+from .outdated_heartbeats import OutdatedHeartbeats
 from .reachability import Reachability
 from .reconciliation import Reconciler, Reconciliation, SyncNeed
 from .routing import Routing
@@ -58,6 +59,7 @@
         self.reconciler = reconciler
         self.updates = updates
         self.inventory = inventory
+        self.outdated = OutdatedHeartbeats(self.committed, self.evidence)
         self.reachability = Reachability(self.settings, self.committed, inventory)
         # number, as passed to on_heartbeat_synced -> the heartbeat whose answer waits for that sync
         self.pending: dict[int, PendingAnswer] = {}
@@ -76,9 +78,9 @@
             return
         last_seen = self.evidence.last_seen.get(heartbeat.machine)
         if self._is_outdated(heartbeat, last_seen):
-            # Answering is safe: it can only renew a lease that the newer message already renewed.
-            reply(200, agent_wire.write_answer(heartbeat.fencing_token))
+            reply(200, self.outdated.answer(heartbeat))
             return
+        self.outdated.forget(heartbeat.machine)
         record = self._get_or_add_record(heartbeat, now)
         self.reachability.track(record, heartbeat, last_seen, now)
         previous = record.heartbeat
--- a/emberglade/agents/wire/agents.py
+++ b/emberglade/agents/wire/agents.py
@@ -130,9 +130,15 @@
     return [command.encode() for command in commands]
 
 
-def write_answer(fencing_token: int, commands: Sequence[Command] = ()) -> dict:
-    """The body of a 200 answer to a heartbeat."""
-    return {"torch": fencing_token, "bellows": _encode_all(commands) if commands else []}
+def write_answer(fencing_token: int | None, commands: Sequence[Command] = ()) -> dict:
+    """The body of a 200 answer to a heartbeat.
+
+    The agent drops an answer without a fencing token (None): it does not renew the lease.
+    """
+    encoded = _encode_all(commands) if commands else []
+    if fencing_token is None:
+        return {"bellows": encoded}
+    return {"torch": fencing_token, "bellows": encoded}
 
 
 def write_direct_commands(
