Agents: an attempt that a report lacks has ended only behind a fence

What callers saw: a cancelled task ran on until its machine's lease was over.

Cause: an answer to a halt that does not list another cancelled task was taken as that task's end, although its start, with a higher token, was on its way.

Change: absence counts with a token of at least the cancellation's revision, or in a later agent epoch, as for the updates of task states.

--- a/emberglade/agents/direct_halts.py
+++ b/emberglade/agents/direct_halts.py
@@ -194,9 +194,13 @@
             if cancellation is None:
                 continue
             found = tasks.attempt(key, desired.attempt)
-            if (
-                heartbeat.agent_epoch > desired.agent_epoch
-                or found is None
-                or found.state is EXITED
-            ):
+            if found is None:
+                # Only with this fencing token would the agent refuse a start that is on its way.
+                ended = (
+                    heartbeat.agent_epoch > desired.agent_epoch
+                    or heartbeat.fencing_token >= cancellation.revision
+                )
+            else:
+                ended = found.state is EXITED
+            if ended:
                 cancellation.ended.add((key[1], desired.attempt))
