--- a/emberglade/jobs/commits.py
+++ b/emberglade/jobs/commits.py
@@ -15,7 +15,7 @@
 from .job import Job
 from .pending_writes import WRITE_DELAY_S, PendingWrites
 from .scheduling_view import SchedulingView
-from .transaction import CommitInFlight, FinishedJob
+from .transaction import CommitInFlight, FinishedJob, chunk_at
 
 if TYPE_CHECKING:
     from ..state import Store
@@ -27,6 +27,7 @@
 NOT_EXECUTED = (429, 503)
 TOO_MANY_REQUESTS = 429
 MAX_KEYS_LOGGED = 8
+NEVER_CHECKED = -1  # no version of the owners
 # For how many lease durations (`lease_s`) the tasks of a record that was rejected alone are not
 # placed.
 INVALID_RECORD_BACKOFF_LEASES = 1
@@ -74,6 +75,7 @@
         self.pending = PendingWrites(view)
         self._due_records = DueRecords(view, self.pending)
         self.in_flight: CommitInFlight | None = None
+        self._owners_checked = NEVER_CHECKED  # the version of the owners in the last check
         self._settlement = CommitSettlement(actor, store, view, self.on_settled)
 
     # --- marking records for writing
@@ -84,15 +86,15 @@
         With `immediate` the chunk is due at the next flush, else it waits to be batched with
         others.
         """
-        self._mark(wire.key_of_chunk(job, task // job.chunk_size), immediate)
+        self._mark(job, wire.key_of_chunk(job, task // job.chunk_size), immediate)
 
     def mark_if_finished(self, job: Job) -> None:
         """If a job is finished and owned, marks its key: a flush then writes its final state."""
         if job.is_finished() and self._owners.owns(job):
-            self._mark(wire.job_key(job.id), immediate=True)
+            self._mark(job, wire.job_key(job.id), immediate=True)
 
-    def _mark(self, key: str, immediate: bool) -> None:
-        self._schedule_flush(self.pending.add(key, self.now(), immediate))
+    def _mark(self, job: Job, key: str, immediate: bool) -> None:
+        self._schedule_flush(self.pending.add(job, key, self.now(), immediate))
 
     def _schedule_flush(self, delay_s: float) -> None:
         at = self.now() + delay_s
@@ -111,6 +113,7 @@
     def on_flush(self) -> None:
         """Handles `flush`, sent to itself: commits due records, unless a commit is in flight."""
         self._flush_at = float("inf")
+        self.discard_outlived()
         if self.in_flight is not None or not self.pending:
             return
         self._listener.before_commit()
@@ -153,6 +156,7 @@
         # The replica is updated at once, because tasks are started when it shows their bindings.
         send(self._store.on_sync, lambda revision: None)
         self._apply_deferred(in_flight, revision)
+        self.discard_outlived()
         self._garbage.collect()
         self._schedule_next_flush()
         self._listener.schedule_placement()
@@ -177,8 +181,10 @@
         if status == TOO_MANY_REQUESTS:
             self._budget.shrink()
         in_flight = self._take_in_flight()
-        self.pending.requeue(list(in_flight.chunks), self.now())
+        self.pending.requeue(in_flight.epochs, self.now())
         self._apply_deferred(in_flight, -1)
+        self._owners_checked = NEVER_CHECKED  # the requeued records may be of a former epoch
+        self.discard_outlived()
         self._schedule_flush(self._settings.agent_heartbeat_s / 8)
 
     def _separate_invalid_record(self) -> None:
@@ -222,6 +228,7 @@
     def discard_in_flight(self) -> None:
         """Drops the commit in flight, which was not executed."""
         self._apply_deferred(self._take_in_flight(), -1)
+        self.discard_outlived()
 
     def _require_in_flight(self) -> CommitInFlight:
         assert self.in_flight is not None, "no commit is in flight"
@@ -256,9 +263,33 @@
         for chunk in self._take_in_flight().chunks.values():
             chunk.mod_revision = -1
         self.reset_to_committed(found)
+        self.discard_outlived()
         self._listener.after_reset()
         self._schedule_next_flush()
 
+    def discard_outlived(self) -> None:
+        """Discards the decisions that were made under an epoch that is not the current one.
+
+        Another owner may have given the same capacity and quota to other jobs. Until the records
+        are reset, no decision is made, as during a commit; during one, the records are reset after
+        it (docs/safety.md, 1).
+        """
+        if self.in_flight is not None or self._owners_checked == self._owners.version:
+            return
+        self._owners_checked = self._owners.version
+        keys = self.pending.outlived()
+        if not keys:
+            return
+        log.info(
+            "discarding the uncommitted decisions on %d keys, which were made before their shards "
+            "changed owner: %s",
+            len(keys),
+            " ".join(sorted(keys)[:MAX_KEYS_LOGGED]),
+        )
+        chunks = {key: chunk_at(self._jobs.jobs[wire.job_id_of(key)], key) for key in keys}
+        self.in_flight = CommitInFlight(chunks, set())
+        send(self._store.on_read_replica, keys, callback(self.on_settled))
+
     def reset_to_committed(self, found: dict[str, Any]) -> None:
         """Discards all uncommitted decisions on the keys in `found`.
 
--- a/emberglade/jobs/manager.py
+++ b/emberglade/jobs/manager.py
@@ -85,7 +85,8 @@
     def on_identity(self, incarnation: int) -> None:
         """Handles `identity(incarnation)` from the membership actor: this process's incarnation."""
         super().on_identity(incarnation)
-        self.view.owners.incarnation = incarnation
+        self.view.owners.set_incarnation(incarnation)
+        self.commits.discard_outlived()
 
     # --- updates from agents and from the store
 
@@ -112,6 +113,7 @@
         for event in events:
             if not self.commits.defer(event):
                 self.committed.apply(*event)
+        self.commits.discard_outlived()
         self._update_dependencies(events, is_snapshot)
         machines = self.committed.take_changed_taints()
         if machines:
--- a/emberglade/jobs/pending_writes.py
+++ b/emberglade/jobs/pending_writes.py
@@ -1,6 +1,7 @@
 """The changed records that are not written yet, and when each of them is due."""
 
 from . import wire
+from .job import Job
 from .scheduling_view import SchedulingView
 
 WRITE_DELAY_S = 0.02  # changes that follow closely on each other are written together
@@ -13,17 +14,21 @@
 
     Attributes:
         due: key -> when it should be written, on the monotonic clock.
+        epochs: key -> the epoch of the job's shard under which the first of the decisions on it was
+            made; None if another controller owned the shard.
     """
 
     def __init__(self, view: SchedulingView) -> None:
         self._settings, self._jobs, self._budget = view.settings, view.jobs, view.budget
+        self._owners = view.owners
         self.due: dict[str, float] = {}
+        self.epochs: dict[str, int | None] = {}
 
     def __bool__(self) -> bool:
         return bool(self.due)
 
-    def add(self, key: str, now: float, immediate: bool) -> float:
-        """Marks a key to be written, and returns the seconds until the next flush should run.
+    def add(self, job: Job, key: str, now: float, immediate: bool) -> float:
+        """Marks a key of a job to be written; returns the seconds until the next flush should run.
 
         With `immediate` (starts, stops, finished jobs) the key is due at once. Exits wait to be
         batched with other changes, since each written key counts towards the rate limit. But other
@@ -38,15 +43,30 @@
             due = now + delay
         if due < self.due.get(key, float("inf")):
             self.due[key] = due
+        self.epochs.setdefault(key, self._owners.own_epoch(job.spec))
         return delay
 
-    def requeue(self, keys: list[str], now: float) -> None:
-        """Makes keys due at once because the commit that contained them was not executed."""
-        self.due.update(dict.fromkeys(keys, now))
+    def requeue(self, epochs: dict[str, int | None], now: float) -> None:
+        """Makes keys due at once because the commit that contained them was not executed.
+
+        `epochs` is {key: the epoch under which it was decided}.
+        """
+        self.due.update(dict.fromkeys(epochs, now))
+        self.epochs.update(epochs)
 
     def discard(self, key: str) -> None:
         """Removes a key that need not be written any more."""
         self.due.pop(key, None)
+        self.epochs.pop(key, None)
+
+    def outlived(self) -> list[str]:
+        """The keys decided under an epoch that is not this controller's current one."""
+        outlived = []
+        for key, epoch in self.epochs.items():
+            job = self._jobs.get(wire.job_id_of(key))
+            if job is not None and (epoch is None or self._owners.own_epoch(job.spec) != epoch):
+                outlived.append(key)
+        return outlived
 
     def job_ids(self) -> set[str]:
         """The ids of the jobs to which the keys belong."""
--- a/emberglade/jobs/rechunking.py
+++ b/emberglade/jobs/rechunking.py
@@ -40,6 +40,8 @@
     Attributes:
         job_id: The job that is rechunked.
         generation: The generation of the new chunks.
+        epoch: The epoch of the job's shard under which the new chunks are derived; under a later
+            one the job's chunks may differ.
         mod_revision: Mod revision of the job's record that the new chunks are derived from.
         record: The job's new record.
         chunks: (key, record) of the new chunks that are still to be written, without the first
@@ -48,6 +50,7 @@
 
     job_id: str
     generation: str
+    epoch: int | None
     mod_revision: int = 0
     record: wire.Record = field(default_factory=dict)
     chunks: list[tuple[str, wire.Record]] = field(default_factory=list)
@@ -88,7 +91,9 @@
             return
         self._operations_started += 1
         self._current = RechunkOperation(
-            job.id, f"{self._owners.incarnation}-{self._operations_started}"
+            job.id,
+            f"{self._owners.incarnation}-{self._operations_started}",
+            self._owners.own_epoch(job.stored_spec),
         )
         keys = [wire.key_of_chunk(job, number) for number in {0, *job.chunks}]
         send(self._store.on_read_replica, keys, callback(self.on_chunks_read, self._current))
@@ -137,7 +142,12 @@
     def _write(self, operation: RechunkOperation) -> None:
         """Writes the next batch of new chunks, or switches to them if all are written."""
         job = self._jobs.get(operation.job_id)
-        if job is None or not self._owners.owns(job) or job.mod_revision != operation.mod_revision:
+        if (
+            job is None
+            or operation.epoch is None
+            or self._owners.own_epoch(job.stored_spec) != operation.epoch
+            or job.mod_revision != operation.mod_revision
+        ):
             self._current = None
             return
         if not operation.chunks:
--- a/emberglade/jobs/shard_owners.py
+++ b/emberglade/jobs/shard_owners.py
@@ -19,6 +19,7 @@
     Attributes:
         incarnation: This process's incarnation; None until the membership actor has sent it.
         owners: shard -> Owner.
+        version: Counts the changes of owners, epochs and of this process's incarnation.
     """
 
     def __init__(self, settings: "Settings") -> None:
@@ -26,10 +27,17 @@
         self._shards = shard_count(settings)
         self.incarnation: int | None = None
         self.owners: dict[int, Owner] = {}
+        self.version = 0
+
+    def set_incarnation(self, incarnation: int) -> None:
+        """Sets this process's incarnation."""
+        self.incarnation = incarnation
+        self.version += 1
 
     def apply(self, key: str, record: dict[str, Any] | None, mod_revision: int) -> None:
         """Applies a change of a shard's key."""
         shard = membership_wire.read_shard_key(key)
+        self.version += 1
         if record is None:
             self.owners.pop(shard, None)
         else:
@@ -51,6 +59,11 @@
         """Whether this process owns the job's shard."""
         return self.is_own(self.owners.get(self.shard_of(job.spec), NO_OWNER))
 
+    def own_epoch(self, spec: JobSpec) -> int | None:
+        """The epoch of a job's shard if this process owns it, else None."""
+        owner = self.owners.get(self.shard_of(spec), NO_OWNER)
+        return owner.mod_revision if self.is_own(owner) else None
+
     def owns_first_shard(self) -> bool:
         """Whether this process owns the first shard; that owner removes orphaned records."""
         return self.is_own(self.owners.get(0, NO_OWNER))
--- a/emberglade/jobs/transaction.py
+++ b/emberglade/jobs/transaction.py
@@ -26,11 +26,13 @@
     Attributes:
         chunks: key -> the Chunk that is written to it.
         shards: The shards whose epochs the commit is conditional on.
+        epochs: key -> the epoch under which its record was decided.
         deferred: key -> the key's changes received from the replica while the commit is in flight.
     """
 
     chunks: dict[str, Chunk]
     shards: set[int]
+    epochs: dict[str, int | None] = field(default_factory=dict)
     deferred: dict[str, list[Change]] = field(init=False)
 
     def __post_init__(self) -> None:
@@ -58,6 +60,7 @@
         chunks: key -> the Chunk that is written to it.
         shards: The shards whose epochs the transaction is conditional on.
         finished_jobs: The jobs whose final states are written.
+        epochs: key -> the epoch of its shard that the transaction is conditional on.
     """
 
     def __init__(self, max_writes: int) -> None:
@@ -65,6 +68,7 @@
         self.chunks: dict[str, Chunk] = {}
         self.shards: set[int] = set()
         self.finished_jobs: list[FinishedJob] = []
+        self.epochs: dict[str, int | None] = {}
 
     @property
     def conditions(self) -> list[state_wire.Condition]:
@@ -118,11 +122,12 @@
             return False
         self.chunks[key] = chunk
         self.shards.add(shard)
+        self.epochs[key] = epoch[1]
         return True
 
     def in_flight(self) -> CommitInFlight:
         """The state to keep until the outcome of this transaction is known."""
-        return CommitInFlight(self.chunks, self.shards)
+        return CommitInFlight(self.chunks, self.shards, self.epochs)
 
 
 def chunk_at(job: Job, key: str) -> Chunk:
--- a/tests/broken_builds/jobs.py
+++ b/tests/broken_builds/jobs.py
@@ -4,6 +4,7 @@
 
 from emberglade.actors import callback, send
 from emberglade.jobs.commit_settlement import CommitSettlement
+from emberglade.jobs.commits import Commits
 from emberglade.jobs.dependencies import DependencyGraph
 from emberglade.jobs.job import Job
 from emberglade.jobs.manager import JobManager
@@ -71,6 +72,11 @@
     )
 
 
+def keeps_outlived_decisions(patch):
+    """Uncommitted decisions are kept when a shard is lost and taken back."""
+    patch.setattr(Commits, "discard_outlived", lambda self: None)
+
+
 def never_places_one_job(patch):
     """The tasks of job-1 are never placed."""
     original = Job.pending_count
--- a/tests/scenario_kinds/cluster.py
+++ b/tests/scenario_kinds/cluster.py
@@ -14,6 +14,7 @@
 from stand_ins.observer import Team
 from stand_ins.ownership import Ownership
 from stand_ins.random_work import draw_work
+from stand_ins.view_checks import ViewChecks
 
 from emberglade.config import Operators
 
@@ -27,6 +28,7 @@
 from .scenario import ACTION_PREFIX, EXPECT, Scenario
 from .scenario_run import ScenarioRun
 
+VIEWS = "views"
 ANNOUNCED_LIMIT_PREFIX = "next_"
 COMBINED_FAULTS_RECOVERY_S = 130  # simulated time between the last fault and the end
 
@@ -105,7 +107,10 @@
         self.previous = controllers
 
     def do_watch(self, what: str) -> None:
-        """Enables the checks of the failover rules."""
+        """Enables the checks of the failover rules, or of job managers' views (`views`)."""
+        if what == VIEWS:
+            self.plan.append(lambda: ViewChecks(self.run.cluster).begin())
+            return
         assert what == "failovers", what
         self.watches_failovers = True
 
--- a/tests/scenario_kinds/cluster_users.py
+++ b/tests/scenario_kinds/cluster_users.py
@@ -16,6 +16,7 @@
 BYTES_PREFIX = "bytes:"
 JOB_PREFIX = "job:"
 INDEFINITELY_S = 1e9
+OWNER_PREFIX = "owner:"  # role of an alias
 
 
 def make_job(job_id: str, arguments: tuple[str, ...]) -> Submission:
@@ -69,8 +70,11 @@
     def do_alias(self, alias: str, role: str) -> None:
         """Defines an alias for the current leader (`leader`) or the n-th controller after it.
 
-        The latter is written `leader+n`.
+        The latter is written `leader+n`; `owner:JOB` is the owner of a live job.
         """
+        if role.startswith(OWNER_PREFIX):
+            self.run.aliases[alias] = self.cluster.owner_of(role[len(OWNER_PREFIX) :])
+            return
         names = self.cluster.names
         _, _, steps = role.partition("+")
         leader = self.cluster.leader()
--- a/tests/stand_ins/cluster.py
+++ b/tests/stand_ins/cluster.py
@@ -153,6 +153,15 @@
         row = self.state.keys.get(state_wire.LEADER_KEY)
         return None if row is None else state_wire.read_owner(row.data)
 
+    def owner_of(self, job_id: str) -> str:
+        """The controller that owns a live job, by its own view."""
+        for name, controller in self.controllers.items():
+            manager = controller.job_manager
+            job = manager.jobs.get(job_id)
+            if job is not None and manager.view.owners.owns(job):
+                return name
+        raise AssertionError(f"no controller owns {job_id}")
+
     def crash_leader(self, seconds: float) -> None:
         """Crashes the current leader, if there is one."""
         leader = self.leader()
--- a/tests/stand_ins/simulated_process.py
+++ b/tests/stand_ins/simulated_process.py
@@ -52,9 +52,13 @@
         """Pauses the process until a time of the world's clock."""
         self.paused_until = until
 
+    def is_paused(self) -> bool:
+        """Whether the process is paused now."""
+        return self.world.now < self.paused_until
+
     def deliver(self, handler: Callable[..., None], args: tuple) -> None:
         """Delivers a message now, or at the end of the current pause."""
-        if self.world.now < self.paused_until:
+        if self.is_paused():
             # Postponed messages are delivered in the order of their arrival.
             self.world.at(self.paused_until - self.world.now, self.deliver, handler, args)
         elif self.alive:
