--- a/emberglade/agents/direct_commands.py
+++ b/emberglade/agents/direct_commands.py
@@ -1,6 +1,7 @@
 """Commands sent to agents at their own addresses, without waiting for their next heartbeat."""
 
 import logging
+from http import HTTPStatus
 from typing import Any
 
 from ..actors import Actor, callback
@@ -12,6 +13,7 @@
 from .wire import agents as agent_wire
 from .wire.agents import AgentHeartbeat, Command, HaltTask, StartTask
 from .wire.fields import HeartbeatError
+from .wire.peers import MachineStatus
 from .wire.tasks import ReportedTasks, TaskKey, read_tasks
 
 log = logging.getLogger("emberglade.agents")
@@ -19,6 +21,8 @@
 # Statuses of answers that contain a heartbeat: the commands were executed, or rejected as outdated.
 ANSWERS_WITH_HEARTBEAT = (200, 409)
 
+AgentKey = tuple[str, int]  # (machine, agent epoch)
+
 
 class DirectCommands(AgentPart):
     """Starts newly bound tasks and stops preempted ones, for jobs that this controller owns.
@@ -42,15 +46,13 @@
         self.updates = updates
 
     def send(self, changes: list[ChangedBinding]) -> None:
-        """Sends the commands for these new bindings and stops, one message per agent."""
-        commands: dict[tuple[str, int], list[Command]] = {}  # (machine, agent epoch) -> commands
-        for machine, key, changed in changes:
-            command = self._command_for(machine, key, changed)
-            if command is not None:
-                commands.setdefault((machine, changed.agent_epoch), []).append(command)
-        now = self.now()
-        for (machine, agent_epoch), commands_for_agent in commands.items():
-            self._send_to(machine, agent_epoch, commands_for_agent, now)
+        """Sends the commands for these new bindings and stops to the machines' agents."""
+        by_agent: dict[AgentKey, list[ChangedBinding]] = {}
+        for change in changes:
+            machine, _, changed = change
+            by_agent.setdefault((machine, changed.agent_epoch), []).append(change)
+        for agent, changes_of_agent in by_agent.items():
+            self._send_to(agent, changes_of_agent)
 
     def _command_for(self, machine: str, key: TaskKey, changed: DesiredTask) -> Command | None:
         """The command for a new binding or stop, if this controller owns the job; else None.
@@ -76,34 +78,55 @@
             return StartTask(key, desired.attempt)
         return halt_command(bindings, key, desired.attempt, desired.stop)
 
-    def _send_to(self, machine: str, agent_epoch: int, commands: list[Command], now: float) -> None:
-        """Sends an agent the commands that it may receive now, and drops the others."""
-        last_seen = self.evidence.last_seen.get(machine)
-        if last_seen is None:
+    def _send_to(self, agent: AgentKey, changes: list[ChangedBinding]) -> None:
+        """Sends an agent the commands for its changes, unless it may not receive them now.
+
+        Those that do not fit in one message follow after its answer.
+        """
+        status = self._reachable_status(agent)
+        if status is None:
             return
-        status = last_seen.status
-        if machine in self.committed.taints or status.spot_notice:
-            commands = [command for command in commands if isinstance(command, HaltTask)]
-        if (
-            not commands
-            or not status.addr
-            or status.agent_epoch != agent_epoch
-            or status.unreachable
-            or now - last_seen.contact_at > self.settings.lease_s / 2
-        ):
+        machine, agent_epoch = agent
+        only_halts = machine in self.committed.taints or status.spot_notice
+        wanted: list[tuple[ChangedBinding, Command]] = []
+        for change in changes:
+            command = self._command_for(*change)
+            if command is not None and (isinstance(command, HaltTask) or not only_halts):
+                wanted.append((change, command))
+        if not wanted:
             return
+        commands = agent_wire.fitting([command for _, command in wanted])
+        rest = [change for change, _ in wanted[len(commands) :]]
         self.agent_clients.call(
             status.addr,
             "POST",
             agent_wire.COMMANDS_PATH,
             agent_wire.write_direct_commands(self.committed.revision, agent_epoch, commands),
             self.settings.agent_heartbeat_s,
-            callback(self.on_command_answer, machine),
+            callback(self.on_command_answer, agent, rest),
         )
 
-    def on_command_answer(self, machine: str, status: int, body: Any) -> None:
-        """Handles an agent's answer to direct commands."""
-        self.apply_answer(machine, status, body)
+    def _reachable_status(self, agent: AgentKey) -> MachineStatus | None:
+        """The status of an agent that can receive commands in its agent epoch, else None."""
+        machine, agent_epoch = agent
+        last_seen = self.evidence.last_seen.get(machine)
+        if (
+            last_seen is None
+            or not last_seen.status.addr
+            or last_seen.status.agent_epoch != agent_epoch
+            or last_seen.status.unreachable
+            or self.now() - last_seen.contact_at > self.settings.lease_s / 2
+        ):
+            return None
+        return last_seen.status
+
+    def on_command_answer(
+        self, agent: AgentKey, rest: list[ChangedBinding], status: int, body: Any
+    ) -> None:
+        """Handles an agent's answer to direct commands; sends it the `rest` of the commands."""
+        self.apply_answer(agent[0], status, body)
+        if rest and status == HTTPStatus.OK:
+            self._send_to(agent, rest)
 
     def apply_answer(
         self, machine: str, status: int, body: Any
--- a/emberglade/agents/direct_halts.py
+++ b/emberglade/agents/direct_halts.py
@@ -135,15 +135,20 @@
         )
 
     def _send_halts(self, machine: str, agent_epoch: int, addr: str, fencing_token: int) -> None:
-        """Halts all of a machine's cancelled tasks in one message.
+        """Halts a machine's cancelled tasks that are not known to have ended.
 
-        The message's fencing token is at least the revision of each of their cancellations, so that
-        no start from before a cancellation is accepted afterwards, however late it arrives.
+        One message holds as many as fit; the others follow after its answer. The message's fencing
+        token is at least the revision of each of their cancellations, so that no start from before
+        a cancellation is accepted afterwards, however late it arrives.
         """
         commands = []
         for key, desired in self.committed.bindings.of_machine(machine).items():
             cancellation = self.committed.cancelled.by_job.get(key[0])
-            if cancellation is not None and desired.agent_epoch == agent_epoch:
+            if (
+                cancellation is not None
+                and desired.agent_epoch == agent_epoch
+                and (key[1], desired.attempt) not in cancellation.ended
+            ):
                 fencing_token = max(fencing_token, cancellation.revision)
                 commands.append(HaltTask(key, desired.attempt, 0))
         if not commands:
@@ -156,7 +161,14 @@
             agent_wire.COMMANDS_PATH,
             agent_wire.write_direct_commands(fencing_token, agent_epoch, commands),
             self.settings.agent_heartbeat_s,
-            callback(self.on_halt_answer, machine, agent_epoch, addr, fencing_token),
+            callback(
+                self.on_halt_answer,
+                machine,
+                agent_epoch,
+                addr,
+                fencing_token,
+                len(agent_wire.fitting(commands)) < len(commands),
+            ),
         )
 
     def on_halt_answer(
@@ -165,10 +177,14 @@
         agent_epoch: int,
         addr: str,
         fencing_token: int,
+        incomplete: bool,
         status: int,
         body: Any,
     ) -> None:
-        """Handles an agent's answer to a direct halt: records ended tasks, or repeats the halt."""
+        """Handles an agent's answer to a direct halt: records ended tasks, or repeats the halt.
+
+        `incomplete`: more tasks are to be halted than the message could hold.
+        """
         self.awaiting_answer.discard(machine)
         answer = self.direct_commands.apply_answer(machine, status, body)
         if answer is None:
@@ -183,12 +199,18 @@
             # valid, so it is sent again with that token.
             self._send_halts(machine, agent_epoch, addr, heartbeat.fencing_token)
             return
-        self._note_ended(machine, heartbeat, tasks)
+        ended = self._note_ended(machine, heartbeat, tasks)
+        if incomplete and ended:
+            self._send_halts(machine, agent_epoch, addr, self.committed.revision)
         if self.halts_deferred:
             self._halt_due_jobs()
 
-    def _note_ended(self, machine: str, heartbeat: AgentHeartbeat, tasks: ReportedTasks) -> None:
-        """Records which cancelled tasks have ended according to a machine's heartbeat."""
+    def _note_ended(self, machine: str, heartbeat: AgentHeartbeat, tasks: ReportedTasks) -> int:
+        """Records which cancelled tasks have ended according to a machine's heartbeat.
+
+        Returns how many of them were not known to have ended.
+        """
+        newly_ended = 0
         for key, desired in self.committed.bindings.of_machine(machine).items():
             cancellation = self.committed.cancelled.by_job.get(key[0])
             if cancellation is None:
@@ -202,5 +224,8 @@
                 )
             else:
                 ended = found.state is EXITED
-            if ended:
-                cancellation.ended.add((key[1], desired.attempt))
+            task = (key[1], desired.attempt)
+            if ended and task not in cancellation.ended:
+                cancellation.ended.add(task)
+                newly_ended += 1
+        return newly_ended
--- a/emberglade/agents/wire/agents.py
+++ b/emberglade/agents/wire/agents.py
@@ -3,15 +3,22 @@
 PROTOCOL, "Workers -> controller nodes" and "Controller nodes -> workers".
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
+import orjson
+
 from ...jobs.job import task_name
 from .fields import HeartbeatError, read_count, read_text
 from .tasks import TaskKey
 
 COMMANDS_PATH = "/commands"  # on the agent's server
+MAX_LINE_BYTES = 64 * 1024  # of a request body, or of a line of an answer (PROTOCOL)
+ENVELOPE_BYTES = 128  # of a message besides its commands: token, agent epoch and field names
+# Commands that fit one message whatever they are: each has at most 192 bytes, as a job id has at
+# most 68 ASCII characters.
+ALWAYS_FITTING_COMMANDS = 320
 
 
 @dataclass(slots=True)
@@ -126,29 +133,48 @@
 Command = StartTask | HaltTask | ClearTask
 
 
-def _encode_all(commands: Iterable[Command]) -> list[dict]:
-    return [command.encode() for command in commands]
+def fitting(commands: Sequence[Command]) -> Sequence[Command]:
+    """The first of these commands, as many as one message may hold.
+
+    PROTOCOL allows a line of 64 KiB in an answer, and a request body of that size.
+    """
+    if len(commands) <= ALWAYS_FITTING_COMMANDS:
+        return commands
+    bytes_left = MAX_LINE_BYTES - ENVELOPE_BYTES
+    for count, command in enumerate(commands):
+        bytes_left -= len(orjson.dumps(command.encode())) + len(b",")
+        if bytes_left < 0:
+            return commands[:count]
+    return commands
+
+
+def _encode_fitting(commands: Sequence[Command]) -> list[dict]:
+    return [command.encode() for command in fitting(commands)]
 
 
 def write_answer(fencing_token: int | None, commands: Sequence[Command] = ()) -> dict:
     """The body of a 200 answer to a heartbeat.
 
-    The agent drops an answer without a fencing token (None): it does not renew the lease.
+    Commands beyond those that are `fitting` are left out; the next answer contains them. The agent
+    drops an answer without a fencing token (None): it does not renew the lease.
     """
-    encoded = _encode_all(commands) if commands else []
+    encoded = _encode_fitting(commands) if commands else []
     if fencing_token is None:
         return {"bellows": encoded}
     return {"torch": fencing_token, "bellows": encoded}
 
 
 def write_direct_commands(
-    fencing_token: int, agent_epoch: int, commands: Iterable[Command]
+    fencing_token: int, agent_epoch: int, commands: Sequence[Command]
 ) -> dict:
-    """The body of commands sent to an agent's own address, valid only in that agent epoch."""
+    """The body of commands sent to an agent's own address, valid only in that agent epoch.
+
+    Commands beyond those that are `fitting` are left out.
+    """
     return {
         "torch": fencing_token,
         "kindling_span": agent_epoch,
-        "bellows": _encode_all(commands),
+        "bellows": _encode_fitting(commands),
     }
 
 
--- a/tests/stand_ins/wire.py
+++ b/tests/stand_ins/wire.py
@@ -107,6 +107,7 @@
 
 AGENT_HEARTBEAT_PATH = "/agent/beat"
 COMMANDS_PATH = "/commands"
+MAX_LINE_BYTES = 64 * 1024
 
 
 class TaskState(StrEnum):
--- a/tests/stand_ins/worker.py
+++ b/tests/stand_ins/worker.py
@@ -205,11 +205,18 @@
         """Answers a controller's request; a hung machine queues it until it recovers."""
         if self.hung:
             self.queued_requests.append((method, path, body, source, reply))
+        elif len(body) > wire.MAX_LINE_BYTES:
+            self.note_long_line(len(body))
+            reply(400, {})
         elif path == wire.COMMANDS_PATH:
             reply(*self.receive_commands(wire.read_commands(orjson.loads(body))))
         else:
             reply(200, self.heartbeat())
 
+    def note_long_line(self, size: int) -> None:
+        """Records a message that is longer than PROTOCOL allows; the agent executes none of it."""
+        self.observer.record("long_line", f"{self.name} is sent {size} bytes in one line")
+
     def receive_commands(self, received: wire.Commands) -> tuple[int, dict[str, Any]]:
         """Executes direct commands unless their fencing token or agent epoch is stale."""
         if received.fencing_token is None or received.agent_epoch is None:
@@ -314,7 +321,11 @@
         self.in_flight = False
         if self.dead:
             return
-        if status == 200:
+        size = len(orjson.dumps(body)) if body is not None else 0
+        if size > wire.MAX_LINE_BYTES:
+            self.note_long_line(size)
+            self.switch_controller(None)
+        elif status == 200:
             self.renew_lease(sent_at, agent_epoch, wire.read_commands(body))
         else:
             self.switch_controller(wire.read_redirect(status, body))
