Placement: a tiny amount, or a job whose evaluation raises, stops no round

Cause: the number of tasks within a limit, an infinite quotient, was made a whole number before it was compared.

Change: whole_tasks compares first, for teams and for machines. A job whose placement raises is logged once and left out.

--- a/emberglade/jobs/placement_pass.py
+++ b/emberglade/jobs/placement_pass.py
@@ -33,12 +33,25 @@
         commits: Commits,
         placement_round: placement.PlacementRound,
         starving: set[str],
+        failed_jobs: set[str],
         now: float,
         wall_time: float,
     ) -> None:
+        """Prepares a round.
+
+        Args:
+            view: The jobs and the machines.
+            commits: Receives the bindings.
+            placement_round: Reserves capacity for the round.
+            starving: The ids of the jobs that are placed first.
+            failed_jobs: The ids of the jobs whose placement has raised; extended by the round.
+            now: The monotonic clock, in seconds.
+            wall_time: The wall-clock time, in seconds since 1970.
+        """
         settings = view.settings
         self._jobs, self._cluster, self._owners = view.jobs, view.cluster, view.owners
         self._commits, self._round, self._starving = commits, placement_round, starving
+        self._failed_jobs = failed_jobs
         self._teams, self._now, self._wall_time = settings.teams, now, wall_time
         # Rows (job, number of similar tasks expected soon), for which capacity is kept free.
         self._buffer = placement.capacity_buffer(
@@ -58,9 +71,18 @@
         """
         if any(team.guaranteed_cpus or team.guaranteed_gpus for team in self._teams.values()):
             for job in pending:
-                self._place_or_reserve(job, within_guarantee=True)
+                self._evaluate(job, within_guarantee=True)
         for job in pending:
-            self._place_or_reserve(job, within_guarantee=False)
+            self._evaluate(job, within_guarantee=False)
+
+    def _evaluate(self, job: Job, within_guarantee: bool) -> None:
+        """Places one job; if that raises, the other jobs of the round are placed all the same."""
+        try:
+            self._place_or_reserve(job, within_guarantee)
+        except Exception:
+            if job.id not in self._failed_jobs:
+                self._failed_jobs.add(job.id)
+                log.exception("placing job %s failed; the other jobs are not affected", job.id)
 
     def _place_or_reserve(self, job: Job, within_guarantee: bool) -> None:
         self._reserve_buffer_ahead_of(job)
--- a/emberglade/jobs/scheduler.py
+++ b/emberglade/jobs/scheduler.py
@@ -52,6 +52,7 @@
         self._next_round_at = float("-inf")
         self._guaranteed: set[str] = set()  # jobs within their team's guarantee
         self._guaranteed_at = float("-inf")
+        self._failed_jobs: set[str] = set()  # whose placement has raised, so it was logged
 
     def schedule_round(self) -> None:
         """Schedules a round, unless one is scheduled already."""
@@ -109,7 +110,13 @@
         self._sort(pending, starving, wall_time)
         self._update_guaranteed(now)
         placement_pass = PlacementPass(
-            self._view, self._commits, placement_round, starving, now, wall_time
+            self._view,
+            self._commits,
+            placement_round,
+            starving,
+            self._failed_jobs,
+            now,
+            wall_time,
         )
         placement_pass.run(pending)
         self._preemption.preempt(now, pending, self._guaranteed, placement_round)
--- a/emberglade/placement/resources.py
+++ b/emberglade/placement/resources.py
@@ -89,27 +89,37 @@
     ) -> Count:
         """How many of `tasks` more tasks of a job are within both limits; 0 means no limit."""
         if cpu_limit > 0 and spec.cpus > 0:
-            tasks = min(tasks, int((cpu_limit - self.cpus) / spec.cpus + ROUNDING_TOLERANCE))
+            tasks = whole_tasks(cpu_limit - self.cpus, spec.cpus, tasks)
         if gpu_limit > 0 and spec.gpus > 0:
-            tasks = min(tasks, int((gpu_limit - self.gpus) / spec.gpus + ROUNDING_TOLERANCE))
+            tasks = whole_tasks(gpu_limit - self.gpus, spec.gpus, tasks)
         return max(0, tasks)
 
 
+def whole_tasks(available: float, need: float, most: Count) -> Count:
+    """How many tasks that need an amount each are within what is available, `most` at most.
+
+    `need` is above 0. It may be so small that the quotient is infinite.
+    """
+    tasks = available / need + ROUNDING_TOLERANCE
+    if tasks >= most:
+        return most
+    return max(0, int(tasks)) if tasks > 0 else 0
+
+
 def tasks_that_fit(spec: "JobSpec", available: Amounts, unconstrained_count: int) -> int:
     """How many tasks of a job fit into an amount.
 
     Args:
         spec: The job.
         available: The amount.
-        unconstrained_count: The result for a job whose tasks require no resources.
+        unconstrained_count: The largest result, also that for a job whose tasks require nothing.
     """
-    ratios = [
-        amount / need
-        for amount, need in (
-            (available.cpus, spec.cpus),
-            (available.gpus, spec.gpus),
-            (available.ram_gb, spec.ram_gb),
-        )
-        if need > 0
-    ]
-    return int(min(ratios, default=unconstrained_count) + ROUNDING_TOLERANCE)
+    count = unconstrained_count
+    for amount, need in (
+        (available.cpus, spec.cpus),
+        (available.gpus, spec.gpus),
+        (available.ram_gb, spec.ram_gb),
+    ):
+        if need > 0:
+            count = whole_tasks(amount, need, count)
+    return count
--- a/tests/broken_builds/jobs.py
+++ b/tests/broken_builds/jobs.py
@@ -8,6 +8,7 @@
 from emberglade.jobs.dependencies import DependencyGraph
 from emberglade.jobs.job import Job
 from emberglade.jobs.manager import JobManager
+from emberglade.jobs.placement_pass import PlacementPass
 from emberglade.jobs.scheduler import Scheduler
 from emberglade.jobs.task_lifecycle import TaskLifecycle
 
@@ -77,6 +78,18 @@
     patch.setattr(Commits, "discard_outlived", lambda self: None)
 
 
+def one_job_raises(patch):
+    """The placement of job-1 raises."""
+    original = PlacementPass._place_or_reserve
+
+    def place(self, job, within_guarantee):
+        if job.id == "job-1":
+            raise OverflowError(job.id)
+        original(self, job, within_guarantee)
+
+    patch.setattr(PlacementPass, "_place_or_reserve", place)
+
+
 def never_places_one_job(patch):
     """The tasks of job-1 are never placed."""
     original = Job.pending_count
