--- a/emberglade/transport/server.py
+++ b/emberglade/transport/server.py
@@ -86,9 +86,11 @@
 
     # --- the server's thread
 
-    def begin(self, name: str) -> None:
-        """Starts serving on a new thread."""
-        threading.Thread(target=self.serve_forever, name=name, daemon=True).start()
+    def begin(self, name: str) -> threading.Thread:
+        """Starts serving on a new thread, and returns the thread; it ends after `shutdown`."""
+        thread = threading.Thread(target=self.serve_forever, name=name, daemon=True)
+        thread.start()
+        return thread
 
     def serve_forever(self, poll_interval: float = 0.0) -> None:
         """Serves on the caller's thread until `shutdown`; `poll_interval` is ignored."""
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -113,9 +113,11 @@
     terminalreporter: pytest.TerminalReporter, config: pytest.Config
 ) -> None:
     """Prints each entry of the list with its outcome."""
-    known_red = config.stash.get(KNOWN_RED, None)
-    if known_red is None:
+    file = config.getoption(OPTION)
+    if file is None:
         return
+    # With several processes (pytest-xdist), this one has collected nothing.
+    known_red = config.stash.get(KNOWN_RED, None) or read_known_red(file)
     failed = {report.nodeid for report in terminalreporter.getreports(FAILS)}
     passed = {report.nodeid for report in terminalreporter.getreports(PASSES)}
     terminalreporter.section("known red")
--- a/tests/scenario_kinds/calls.py
+++ b/tests/scenario_kinds/calls.py
@@ -33,7 +33,7 @@
                 idle_timeout_s=TIMEOUT_S,
             ),
         )
-        self.server.begin("worker")
+        self.server_thread = self.server.begin("worker")
 
     def do_pool(self, threads: str) -> None:
         """Creates the client pool with this many threads."""
@@ -67,7 +67,10 @@
         assert sorted(statuses) == sorted(map(int, expected)), statuses
 
     def end(self) -> None:
-        """Closes the sockets of hung workers and stops the server."""
+        """Closes the sockets of hung workers and stops the server; its thread has ended then."""
         for sock in self.hung:
             sock.close()
         self.server.shutdown()
+        self.server_thread.join(TIMEOUT_S)
+        assert not self.server_thread.is_alive(), "the server's thread has not ended"
+        self.server.server_close()
--- a/tests/scenario_kinds/server.py
+++ b/tests/scenario_kinds/server.py
@@ -31,7 +31,7 @@
     def __init__(self, patch: pytest.MonkeyPatch, directory: Path) -> None:
         super().__init__(patch, directory)
         self.server: Server  # started by `limits`
-        self.threads_before = 0
+        self.threads_before: set[threading.Thread] = set()
         self.idle: list[Connection] = []  # open connections without a pending request
         self.raw: dict[str, socket.socket] = {}  # connections of misbehaving clients, by name
         self.pending: list[Callable[..., None]] = []  # reply callbacks of `/hold` requests
@@ -42,7 +42,7 @@
         fields: dict[str, Any] = parse_arguments(arguments)[1]
         limits = ServerLimits(**{"answer_timeout_s": 30.0, "idle_timeout_s": 60.0, **fields})
         self.server = Server((LOOPBACK, 0), self.route, limits, is_user_path)
-        self.threads_before = threading.active_count()
+        self.threads_before = set(threading.enumerate())
         self.server.begin("test")
 
     def route(self, method: str, path: str, body: bytes, reply: Callable[..., None]) -> None:
@@ -69,7 +69,7 @@
         for sock in self.raw.values():
             sock.close()
         self.server.shutdown()
-        self.wait_until(lambda: threading.active_count() <= self.threads_before)
+        self.wait_until(lambda: not self.new_threads())
         self.server.server_close()
 
     # --- well-behaved clients
@@ -186,7 +186,11 @@
 
     def expect_threads(self, count: str) -> None:
         """The server runs this many threads, independent of the number of connections."""
-        assert threading.active_count() - self.threads_before == int(count)
+        assert len(self.new_threads()) == int(count), self.new_threads()
+
+    def new_threads(self) -> set[threading.Thread]:
+        """The threads that were started since the server was created and have not ended."""
+        return set(threading.enumerate()) - self.threads_before
 
     def expect_response(self, status: str, *texts: str) -> None:
         """The encoded response with this status contains these texts."""
--- a/tests/stand_ins/loopback.py
+++ b/tests/stand_ins/loopback.py
@@ -7,7 +7,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import Iterable
@@ -19,9 +18,12 @@
 from .deployment import Deployment
 from .forwarder import Forwarder
 from .real_time_world import LOOPBACK, RealTimeWorld
+from .reserved_ports import ReservedPorts
 
 ROOT = Path(__file__).resolve().parents[2]
 KIBIBYTE = 1024
+EXIT_CHECK_S = 0.5
+MAX_LOG_CHARACTERS = 300  # of an ended controller's log, in the violation
 PEER = """[[peers]]
 node_name = "{peer.name}"
 location = "{peer.zone}"
@@ -78,10 +80,15 @@
 
 
 class LoopbackCluster(Cluster):
-    """A cluster whose controllers are separate processes."""
+    """A cluster whose controllers are separate processes.
+
+    Attributes:
+        reserved: The ports of the controllers.
+    """
 
     world: RealTimeWorld
     processes: dict[str, RealProcess]
+    reserved: ReservedPorts
 
     def __init__(
         self,
@@ -99,7 +106,11 @@
     def begin(self, name: str) -> None:
         """Starts a controller's process."""
         if not self.ports:
-            self.ports = {host: Ports(free_port(), free_port()) for host in self.names}
+            self.reserved = ReservedPorts()
+            self.ports = {
+                host: Ports(self.reserved.take(), self.reserved.take()) for host in self.names
+            }
+            self.check_processes()
             self.world.front_addresses = {
                 host: f"{LOOPBACK}:{ports.front}" for host, ports in self.ports.items()
             }
@@ -117,6 +128,17 @@
             )
         self.processes[name] = RealProcess(popen)
 
+    def check_processes(self) -> None:
+        """Records a violation for each controller that has ended by itself."""
+        self.world.at(EXIT_CHECK_S, self.check_processes)
+        for name, process in self.processes.items():
+            if process.alive and process.popen.poll() is not None:
+                process.alive = False
+                log = (self.directory / f"{name}.log").read_text()[-MAX_LOG_CHARACTERS:]
+                self.observer.record(
+                    "controller_ended", f"{name}, exit code {process.popen.returncode}: {log}"
+                )
+
     def settings_text(self, name: str) -> str:
         """The platform's settings file for a controller, whose links go through forwarders."""
         settings = self.deployment.settings(name)
@@ -172,9 +194,4 @@
         for forwarder in self.forwarders:
             forwarder.refuse()
         self.world.stop()
-
-
-def free_port() -> int:
-    """Returns a port that is currently free."""
-    with socket.create_server((LOOPBACK, 0)) as probe:
-        return probe.getsockname()[1]
+        self.reserved.close()
--- a/tests/stand_ins/serve_loopback.py
+++ b/tests/stand_ins/serve_loopback.py
@@ -9,6 +9,7 @@
 """
 
 import argparse
+import signal
 import sys
 from pathlib import Path
 
@@ -137,6 +138,8 @@
         f"{settings.node}; stop with Ctrl-C",
         flush=True,
     )
+    # SIGTERM ends it like Ctrl-C, also where SIGINT is ignored.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         world.run(float("inf"))
     except KeyboardInterrupt:
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -16,8 +16,8 @@
 from pathlib import Path
 
 import pytest
-from stand_ins.loopback import free_port
 from stand_ins.real_time_world import LOOPBACK
+from stand_ins.reserved_ports import ReservedPorts
 
 from emberglade.config import load_platform
 
@@ -46,21 +46,25 @@
     return [sys.executable, *arguments[1:]]
 
 
+pytestmark = pytest.mark.real_time
+
+
 @pytest.fixture
 def settings_file(tmp_path):
-    """A copy of the shipped settings with free ports."""
-    copy = tmp_path / "settings.toml"
-    copy.write_text(
-        re.sub(
-            rf"{LOOPBACK}:\d+", lambda _: f"{LOOPBACK}:{free_port()}", (ROOT / SETTINGS).read_text()
-        )
-    )
-    return copy
+    """A copy of the shipped settings with ports that belong to this test."""
+    copy, ports = tmp_path / "settings.toml", ReservedPorts()
+    shipped = (ROOT / SETTINGS).read_text()
+    copy.write_text(re.sub(rf"{LOOPBACK}:\d+", lambda _: f"{LOOPBACK}:{ports.take()}", shipped))
+    yield copy
+    ports.close()
 
 
 @contextmanager
 def running(command, settings_file, log_file):
-    """Runs one of the README's commands; stops it with SIGINT, and kills it if that fails."""
+    """Runs one of the README's commands; stops it with SIGTERM, and kills it if that fails.
+
+    SIGINT would not do: a process that a shell starts in the background ignores it.
+    """
     with open(log_file, "w") as log:
         process = subprocess.Popen(
             command_arguments(command, settings_file), cwd=ROOT, stdout=log, stderr=log
@@ -68,7 +72,7 @@
     try:
         yield process
     finally:
-        process.send_signal(signal.SIGINT)
+        process.send_signal(signal.SIGTERM)
         try:
             process.wait(10)
         except subprocess.TimeoutExpired:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -14,6 +14,8 @@
 from scenario_kinds import KINDS
 from scenario_kinds.scenario import Scenario
 
+# The kinds of scenarios that use real threads or processes and the real clock.
+REAL_TIME_KINDS = ("actors", "calls", "loopback", "server")
 EXPECTATION = "expectation"  # in place of a rule: one of the scenario's expectations has to fail
 
 
@@ -22,14 +24,26 @@
     for scenario_file in read_scenarios():
         for seed in scenario_file.seeds:
             suffix = f"-{seed}" if seed else ""
-            yield pytest.param(scenario_file, seed, id=scenario_file.name + suffix)
+            yield pytest.param(
+                scenario_file, seed, id=scenario_file.name + suffix, marks=marks_of(scenario_file)
+            )
 
 
 def guard_cases() -> Iterator[Any]:
     """Yields the parameters of each `guard BUILD RULE` line."""
     for scenario_file in read_scenarios():
         for guard in scenario_file.guards:
-            yield pytest.param(scenario_file, guard, id=f"{scenario_file.name}-{guard.build}")
+            yield pytest.param(
+                scenario_file,
+                guard,
+                id=f"{scenario_file.name}-{guard.build}",
+                marks=marks_of(scenario_file),
+            )
+
+
+def marks_of(scenario_file: ScenarioFile) -> list[pytest.MarkDecorator]:
+    """The marks of a scenario's tests: CI runs `real_time` tests one after the other."""
+    return [pytest.mark.real_time] if scenario_file.kind in REAL_TIME_KINDS else []
 
 
 @pytest.mark.parametrize(("scenario_file", "seed"), list(scenario_cases()))
