Jobs: an outcome that is read again is not counted again

What callers saw: a job started before all the jobs that it awaits were done.

Cause: a number of open dependencies, lowered whenever an outcome was learned, also when it had been forgotten after 20,000 finished jobs and was read again.

Change: the set of open dependencies in place of their number.

--- a/emberglade/jobs/dependencies.py
+++ b/emberglade/jobs/dependencies.py
@@ -124,7 +124,8 @@
         cancelled = False
         for dependency in dependencies:
             self.dependents.setdefault(dependency, set()).add(job_id)
-            job.open_dependencies += self.outcomes.get(dependency) is not Outcome.DONE
+            if self.outcomes.get(dependency) is not Outcome.DONE:
+                job.open_dependencies.add(dependency)
             cancelled = cancelled or self.is_cancelled(dependency)
         self.urgency.propagate(job_id)
         if cancelled:
@@ -187,7 +188,7 @@
             return
         for dependent in self.dependents.get(job_id, ()):
             job = self.waiting[dependent]
-            job.open_dependencies -= 1
+            job.open_dependencies.discard(job_id)
             if not job.open_dependencies and not job.cancelled:
                 self.ready.add(dependent)
 
--- a/emberglade/jobs/waiting_job.py
+++ b/emberglade/jobs/waiting_job.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from .job_spec import JobSpec
 from .urgency import Urgency
@@ -34,7 +34,8 @@
         dependencies: The ids of the jobs that it depends on.
         mod_revision: The mod revision of the job's key.
         list_id: The id of its segmented list of dependencies; empty if it has none.
-        open_dependencies: How many of its dependencies are not known to be done.
+        open_dependencies: Its dependencies that are not known to be done. Once known, it stays so,
+            even if the outcome is forgotten and read again.
         cancelled: Whether it is cancelled because a dependency was cancelled.
     """
 
@@ -42,7 +43,7 @@
     dependencies: tuple[str, ...]
     mod_revision: int
     list_id: str = ""
-    open_dependencies: int = 0
+    open_dependencies: set[str] = field(default_factory=set)
     cancelled: bool = False
 
     def own_urgency(self) -> Urgency:
--- a/tests/scenario_kinds/cluster.py
+++ b/tests/scenario_kinds/cluster.py
@@ -17,6 +17,7 @@
 from stand_ins.view_checks import ViewChecks
 
 from emberglade.config import Operators
+from emberglade.jobs import dependencies
 
 from .arguments import parse_arguments
 from .cluster_faults import FaultVerbs
@@ -118,6 +119,10 @@
         """Applies a broken build."""
         broken_builds.apply(name, self.patch)
 
+    def do_outcomes_kept(self, count: str) -> None:
+        """Sets how many outcomes of finished jobs controllers keep in memory."""
+        self.patch.setattr(dependencies, "MAX_OUTCOMES", int(count))
+
     def do_count_calls(self, path: str) -> None:
         """Counts calls of a function, e.g. `placement.preemption_rules.may_preempt`."""
         module_name, _, name = path.rpartition(".")
