Placement: no task is stopped for a job that stays above its quota

What callers saw: a task of a lower priority was started and stopped again and again for a job of its team that could not start either way.

Cause: victims_for_quota returned all possible victims when they did not suffice.

--- a/emberglade/placement/victims.py
+++ b/emberglade/placement/victims.py
@@ -50,7 +50,7 @@
     """Victims of a job's own team whose end brings one more task of the job within its quota.
 
     Returns:
-        The victims, the first to be stopped first; all possible ones if they are not enough.
+        The victims, the first to be stopped first; none if all possible ones are not enough.
     """
     team = teams[spec.team]
     usage = capacity.usage_of(spec.team)
@@ -65,12 +65,12 @@
     team_tasks.sort(key=lambda bound_task: victim_order(bound_task, is_recently_bound(bound_task)))
     victims = []
     for bound_task in team_tasks:
-        if excess_cpus <= ROUNDING_TOLERANCE and excess_gpus <= ROUNDING_TOLERANCE:
+        if max(excess_cpus, excess_gpus) <= ROUNDING_TOLERANCE:
             break
         victims.append(bound_task)
         excess_cpus -= bound_task.job.spec.cpus
         excess_gpus -= bound_task.job.spec.gpus
-    return victims
+    return victims if max(excess_cpus, excess_gpus) <= ROUNDING_TOLERANCE else []
 
 
 def _excess(amount: float, quota: float) -> float:
