--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+from contextlib import suppress
 from pathlib import Path
 from typing import NamedTuple
 
@@ -113,11 +114,9 @@
     terminalreporter: pytest.TerminalReporter, config: pytest.Config
 ) -> None:
     """Prints each entry of the list with its outcome."""
-    file = config.getoption(OPTION)
-    if file is None:
+    known_red = listed_entries(config)
+    if known_red is None:
         return
-    # With several processes (pytest-xdist), this one has collected nothing.
-    known_red = config.stash.get(KNOWN_RED, None) or read_known_red(file)
     failed = {report.nodeid for report in terminalreporter.getreports(FAILS)}
     passed = {report.nodeid for report in terminalreporter.getreports(PASSES)}
     terminalreporter.section("known red")
@@ -127,6 +126,19 @@
         terminalreporter.line(f"{script}: a script, not part of this run")
 
 
+def listed_entries(config: pytest.Config) -> KnownRed | None:
+    """The entries of the list; None without a list, or with one that is malformed.
+
+    With several processes (pytest-xdist), this process has collected nothing, so it reads the list.
+    """
+    file = config.getoption(OPTION)
+    if file is None or KNOWN_RED in config.stash:
+        return config.stash.get(KNOWN_RED, None)
+    with suppress(KnownRedError):  # reported when the tests were collected
+        return read_known_red(file)
+    return None
+
+
 def describe_outcome(test: str, failed: set[str], passed: set[str]) -> str:
     """What a listed test's outcome means for the list."""
     if test in failed:
