--- a/tests/stand_ins/worker.py
+++ b/tests/stand_ins/worker.py
@@ -59,6 +59,8 @@
         controller: The index in `settings.controllers` of the controller that gets its heartbeats.
         lease_renewed_at: When the last heartbeat that renewed the lease was sent.
         heartbeat_count: The number of heartbeats sent.
+        counts_anew: Whether its agent was restarted and lost its numbers.
+        sent_sequence: The sequence number of the last heartbeat.
         executed: The direct commands that were executed, in order.
     """
 
@@ -96,6 +98,8 @@
         self.heartbeat_count = 0
         self.last_sent = -10.0
         self.queued_requests: list[tuple] = []  # requests that arrived while the machine was hung
+        self.counts_anew = False
+        self.sent_sequence = 0
         self.executed: list[wire.Commands] = []
         self.copies_rng = world.generator(f"copies of {name}")
 
@@ -151,6 +155,7 @@
             self.agent_epoch -= 1
         elif memory is AgentMemory.NOTHING:
             self.agent_epoch, self.sequence, self.fencing_token = 1, 0, 0
+            self.counts_anew = True
         self.world.at(REBOOT_S, self.serve)
 
     def serve(self) -> None:
@@ -300,12 +305,14 @@
         self.in_flight = True
         self.last_sent = self.world.now
         sent_at, agent_epoch = self.world.now, self.agent_epoch
+        heartbeat = self.heartbeat()
+        self.sent_sequence = self.sequence
         self.world.request(
             self.name,
             self.settings.controllers[self.controller],
             "POST",
             wire.AGENT_HEARTBEAT_PATH,
-            self.heartbeat(),
+            heartbeat,
             HEARTBEAT_TIMEOUT_S,
             lambda status, body: self.receive_answer(sent_at, agent_epoch, status, body),
         )
@@ -333,6 +340,11 @@
     def renew_lease(self, sent_at: float, agent_epoch: int, received: wire.Commands) -> None:
         """Renews the lease and executes an answer's commands, unless the answer is stale."""
         token = received.fencing_token
+        if token is None:
+            # Only an outdated heartbeat may be answered so: one that the agent's own answer to a
+            # command has overtaken, or one of an agent that counts anew.
+            assert self.counts_anew or self.sequence > self.sent_sequence, self.name
+            assert not received.commands, received.commands
         if token is not None and token >= self.fencing_token and agent_epoch == self.agent_epoch:
             self.lease_renewed_at = max(self.lease_renewed_at, sent_at)
             self.execute(received)
